--- /dev/null
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/id/ReleaseNumber.kt
@@ -0,0 +1,15 @@
+package io.anvilvalve.api.id
+
+import kotlinx.serialization.Serializable
+
+/** Count of accepted release notes; 0 is before the first note. */
+@JvmInline
+@Serializable
+value class ReleaseNumber(val value: Long) : Comparable<ReleaseNumber> {
+    override fun compareTo(other: ReleaseNumber): Int = value.compareTo(other.value)
+
+    /** Returns the position that follows this one. */
+    fun next(): ReleaseNumber = ReleaseNumber(value + 1)
+
+    override fun toString(): String = value.toString()
+}
