--- /dev/null
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/Phase.kt
@@ -0,0 +1,15 @@
+package io.anvilvalve.api.peer
+
+import kotlinx.serialization.Serializable
+
+/** Step of a placed request that its origin reports to the pool owner. */
+@Serializable
+enum class Phase {
+    PREFILL_STARTED,
+    PREFILL_FINISHED,
+    PREFILL_FAILED,
+    FIRST_TOKEN,
+    DECODE_FINISHED,
+    DECODE_FAILED,
+    CANCELLED,
+}
--- /dev/null
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/port/KvHandle.kt
@@ -0,0 +1,16 @@
+package io.anvilvalve.api.port
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Where the KV cache of a finished prefill is held; the form that engines publish as `kv_transfer_params`. */
+@Serializable
+data class KvHandle(
+    @SerialName("do_remote_prefill") val remotePrefill: Boolean = true,
+    @SerialName("remote_engine_id") val engineId: String,
+    @SerialName("remote_request_id") val requestId: String,
+    @SerialName("remote_host") val host: String,
+    @SerialName("remote_port") val port: Int,
+    @SerialName("kv_pieces") val pieces: Int,
+    @SerialName("expires_ms") val expiresMillis: Long,
+)
--- /dev/null
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/LogEvent.kt
@@ -0,0 +1,44 @@
+package io.anvilvalve.api.result
+
+/**
+ * Numbered log events; the catalogue is in `docs/log-events.md`.
+ *
+ * @property number number shown as `AVL-` and four digits.
+ * @property meaning one line for the catalogue.
+ */
+enum class LogEvent(val number: Int, val meaning: String) {
+    DAEMON_STARTED(2001, "A daemon has started."),
+    DAEMON_STOPPED(2002, "A daemon has stopped."),
+    SETTINGS_INVALID(2003, "Settings have faults; one event for each."),
+    DRAIN_STARTED(2004, "A planned stop has begun."),
+    DRAIN_FINISHED(2005, "A planned stop has finished; no request was running."),
+    DRAIN_DEADLINE_PASSED(2006, "The drain deadline passed with requests running."),
+    REQUEST_FINISHED(2101, "A request has finished."),
+    REQUEST_REFUSED(2102, "A request was refused."),
+    REQUEST_FAILED(2103, "A request failed after it may have run."),
+    STREAM_RESUMED(2104, "A broken stream was resumed on another backend server."),
+    CANCEL_UNCONFIRMED(2105, "A cancel was not confirmed and will be retried."),
+    ORPHANS_CANCELLED(2106, "Requests of a removed host were cancelled at backend servers."),
+    LOG_UNREADABLE(2201, "The log service could not be read."),
+    LOG_READABLE(2202, "The log service can be read again."),
+    RECORD_UNREADABLE(2203, "A log record does not decode and was skipped."),
+    RELEASE_APPLIED(2204, "A release note was accepted."),
+    RELEASE_REJECTED(2205, "A release note was rejected."),
+    SNAPSHOT_WRITTEN(2206, "A snapshot was written to the log."),
+    SNAPSHOT_IGNORED(2207, "A snapshot was incomplete or damaged and was ignored."),
+    KEY_WITHDRAWN(2208, "A key was withdrawn."),
+    MEMBER_JOINED(2301, "A host joined."),
+    MEMBER_REMOVED(2302, "The removal of a host took effect."),
+    CURRENT_LOST(2303, "The host is no longer current."),
+    CURRENT_REGAINED(2304, "The host is current again."),
+    PEER_REFUSED(2305, "A peer connection or frame was refused."),
+    BACKEND_UNHEALTHY(2401, "A backend server's circuit breaker opened."),
+    BACKEND_HEALTHY(2402, "A backend server's circuit breaker closed."),
+    ORDER_SENT(2403, "An order was sent to a backend server."),
+    ORDER_REFUSED(2404, "A backend server refused an order."),
+    UNEXPECTED_ERROR(2901, "An unexpected error occurred."),
+    ;
+
+    /** Code as logs show it, such as `AVL-2001`. */
+    val code: String get() = "AVL-$number"
+}
