--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/log/LogCodec.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/log/LogCodec.kt
@@ -1,28 +1,13 @@
 package io.anvilvalve.api.log
 
 import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
+import io.anvilvalve.api.BinaryCodec
 
 /** Encodes log records as CBOR; a record that does not decode is skipped by its reader, the same on every host. */
-@OptIn(ExperimentalSerializationApi::class)
 object LogCodec {
-    private val cbor = Cbor {
-        ignoreUnknownKeys = true
-        useDefiniteLengthEncoding = true
-    }
-
     /** Encodes [record]. */
-    fun encode(record: LogRecord): ByteArray = cbor.encodeToByteArray(record)
+    fun encode(record: LogRecord): ByteArray = BinaryCodec.encode(LogRecord.serializer(), record)
 
     /** Decodes [bytes]; the left side tells why they are no record. */
-    fun decode(bytes: ByteArray): Either<String, LogRecord> = try {
-        cbor.decodeFromByteArray<LogRecord>(bytes).right()
-    } catch (e: IllegalArgumentException) {
-        (e.message ?: "not a log record").left()
-    }
+    fun decode(bytes: ByteArray): Either<String, LogRecord> = BinaryCodec.decode(LogRecord.serializer(), bytes)
 }
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
@@ -48,32 +48,20 @@
     /** Asks the slot owner for up to [amount] tokens of the organisation's share number [share]. */
     @Serializable
     @SerialName("tq")
-    data class TokenRequest(
-        val id: TransferId,
-        val organisation: OrganisationId,
-        val share: Int,
-        val amount: Long,
-    ) : PeerMessage
+    data class TokenRequest(val id: TransferId, val organisation: OrganisationId, val share: Int, val amount: Long) :
+        PeerMessage
 
     /** Hands over [amount] tokens, already debited from the giver; 0 when it has none. */
     @Serializable
     @SerialName("tg")
-    data class TokenGrant(
-        val id: TransferId,
-        val organisation: OrganisationId,
-        val share: Int,
-        val amount: Long,
-    ) : PeerMessage
+    data class TokenGrant(val id: TransferId, val organisation: OrganisationId, val share: Int, val amount: Long) :
+        PeerMessage
 
     /** Gives [amount] unused tokens back to the owner of the share. */
     @Serializable
     @SerialName("tr")
-    data class TokenReturn(
-        val id: TransferId,
-        val organisation: OrganisationId,
-        val share: Int,
-        val amount: Long,
-    ) : PeerMessage
+    data class TokenReturn(val id: TransferId, val organisation: OrganisationId, val share: Int, val amount: Long) :
+        PeerMessage
 
     /** Submits a request to the pool owner. */
     @Serializable
@@ -99,11 +87,7 @@
     /** Announces a running request to a new pool owner. */
     @Serializable
     @SerialName("wr")
-    data class WorkRunning(
-        val item: WorkItem,
-        val attempt: Int,
-        val placed: PlacementOutcome.Placed,
-    ) : PeerMessage
+    data class WorkRunning(val item: WorkItem, val attempt: Int, val placed: PlacementOutcome.Placed) : PeerMessage
 
     /** Change [sequence] of the sender's in-flight table; [full] replaces the table. */
     @Serializable
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/port/CacheEvent.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/port/CacheEvent.kt
@@ -5,8 +5,4 @@
 
 /** A prefix that entered ([stored]) or left an engine's cache; a jump of [sequence] is a gap. */
 @Serializable
-data class CacheEvent(
-    val sequence: Long,
-    val stored: Boolean,
-    @SerialName("prefix_hash") val prefixHash: Long,
-)
+data class CacheEvent(val sequence: Long, val stored: Boolean, @SerialName("prefix_hash") val prefixHash: Long)
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/port/EngineOrder.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/port/EngineOrder.kt
@@ -5,8 +5,4 @@
 
 /** An order to reach [target]; [fencing] is the log offset of the issuer's lease. */
 @Serializable
-data class EngineOrder(
-    @SerialName("order_id") val id: String,
-    val fencing: Long,
-    val target: EngineTarget,
-)
+data class EngineOrder(@SerialName("order_id") val id: String, val fencing: Long, val target: EngineTarget)
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/release/Organisation.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/release/Organisation.kt
@@ -11,9 +11,4 @@
  * @property maxTokens upper bound on `max_tokens` of one request.
  */
 @Serializable
-data class Organisation(
-    val id: OrganisationId,
-    val rate: Long,
-    val burst: Long,
-    val maxTokens: Int = 4_096,
-)
+data class Organisation(val id: OrganisationId, val rate: Long, val burst: Long, val maxTokens: Int = 4_096)
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/ResultCode.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/ResultCode.kt
@@ -14,7 +14,12 @@
     UNKNOWN_MODEL(1003, 404, Executed.NO, "No release in force has this model."),
     MAX_TOKENS_OUT_OF_RANGE(1004, 400, Executed.NO, "max_tokens is out of range."),
     UNKNOWN_ROUTE(1005, 404, Executed.NO, "No release in force has this route."),
-    PROMPT_TOO_LONG(1006, 400, Executed.NO, "Prompt and answer exceed the model's context or the organisation's burst."),
+    PROMPT_TOO_LONG(
+        1006,
+        400,
+        Executed.NO,
+        "Prompt and answer exceed the model's context or the organisation's burst.",
+    ),
     REQUEST_TIMEOUT(1007, 408, Executed.NO, "The caller sent the request too slowly."),
     KEY_MISSING(1101, 401, Executed.NO, "The request carries no key."),
     KEY_INVALID(1102, 401, Executed.NO, "The key is unknown or withdrawn."),
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/Main.kt
@@ -0,0 +1,6 @@
+package io.anvilvalve.cli
+
+/** Starts the program. */
+fun main(args: Array<String>) {
+    require(args.isEmpty()) { "no arguments are known yet" }
+}
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetEvent.kt
@@ -0,0 +1,48 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.release.Organisation
+import kotlin.time.Duration
+
+/** Input of the fleet rules: membership, freshness evidence and token limits. */
+sealed interface FleetEvent {
+    /** A log read sent at [sentAt] reached the tail and all its records have been applied. */
+    data class TailReached(val sentAt: Duration) : FleetEvent
+
+    /** A log read or append failed. */
+    data object LogFailed : FleetEvent
+
+    /** A record of the log, in offset order. */
+    data class RecordApplied(val offset: LogOffset, val record: LogRecord) : FleetEvent
+
+    /** Restores membership and slots from a snapshot that covers everything up to [covered]. */
+    data class Restored(val covered: LogOffset, val state: FleetSnapshot) : FleetEvent
+
+    /** The organisations of the release in force. */
+    data class LimitsChanged(val organisations: Collection<Organisation>) : FleetEvent
+
+    /** An operator's release note states that an incarnation has ended. */
+    data class DeclaredGone(val incarnation: Incarnation) : FleetEvent
+
+    /** A message from a peer with the applied offset of its frame. */
+    data class PeerReceived(val from: Member, val appliedOffset: LogOffset, val message: PeerMessage) : FleetEvent
+
+    /** Asks to charge [tokens]; answered by `Admitted` or `Refused` before [deadline] at the latest. */
+    data class Admit(val id: RequestId, val organisation: OrganisationId, val tokens: Long, val deadline: Duration) :
+        FleetEvent
+
+    /** The request used [used] of its charged tokens; the rest is given back. */
+    data class Settle(val id: RequestId, val used: Long) : FleetEvent
+
+    /** A planned stop: release all slots and leave. */
+    data object Drain : FleetEvent
+
+    /** Time has passed. */
+    data object Tick : FleetEvent
+}
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetSnapshot.kt
@@ -0,0 +1,20 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.log.Member
+import kotlinx.serialization.Serializable
+
+/**
+ * Membership and slot owners as of a log offset.
+ *
+ * @property members members with the offset of their join record.
+ * @property removals removed members whose removal may not have taken effect, with the offset of the removal record.
+ * @property slots owner of each assigned limit slot.
+ */
+@Serializable
+data class FleetSnapshot(
+    val members: List<Pair<Member, LogOffset>> = emptyList(),
+    val removals: List<Pair<Member, LogOffset>> = emptyList(),
+    val slots: Map<Int, Incarnation> = emptyMap(),
+)
--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseEffect.kt
@@ -0,0 +1,51 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.NoteId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.KeptReply
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.port.EngineOrder
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.result.ResultCode
+
+/** Output of the release rules. */
+sealed interface ReleaseEffect {
+    /** Appends [records] in one call; the rules read the log to learn whether they took effect. */
+    data class Append(val records: List<LogRecord>) : ReleaseEffect
+
+    /** Sends [message] to [to]; it may be lost. */
+    data class Send(val to: Member, val message: PeerMessage) : ReleaseEffect
+
+    /** A note was accepted and [release] is in force on this host. */
+    data class ReleaseChanged(val release: Release) : ReleaseEffect
+
+    /** A note was rejected as a whole. */
+    data class NoteRejected(val note: NoteId, val current: ReleaseNumber, val faults: List<NoteFault>) : ReleaseEffect
+
+    /** An operator stated that an incarnation has ended. */
+    data class DeclaredGone(val incarnation: Incarnation) : ReleaseEffect
+
+    /** A key no longer works: cancel its running requests and tell the peers. */
+    data class KeyRevoked(val hash: KeyHash) : ReleaseEffect
+
+    /** The call of request [id] may be sent, once. */
+    data class ClaimWon(val id: RequestId) : ReleaseEffect
+
+    /** The call ran before; [reply] is its kept reply. */
+    data class ClaimReplayed(val id: RequestId, val reply: KeptReply) : ReleaseEffect
+
+    /** The call must not be sent; [code] tells why. */
+    data class ClaimRefused(val id: RequestId, val code: ResultCode) : ReleaseEffect
+
+    /** Reads the state of a backend server. */
+    data class ReadState(val server: BackendServerId) : ReleaseEffect
+
+    /** Sends an order to a backend server. */
+    data class SendOrder(val server: BackendServerId, val order: EngineOrder) : ReleaseEffect
+}
