--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostConfig.kt
@@ -0,0 +1,12 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.log.Member
+
+/**
+ * Fixed properties of a host's rules.
+ *
+ * @property self the host, its incarnation and its peer address.
+ * @property seed seed of all pseudo-random choices.
+ * @property limitSlots number of limit slots of the fleet; the same on all hosts.
+ */
+data class HostConfig(val self: Member, val seed: Long, val limitSlots: Int = 64)
--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RequestSummary.kt
@@ -0,0 +1,30 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.result.ResultCode
+import kotlin.time.Duration
+
+/**
+ * Result of one request for metrics.
+ *
+ * @property model model name, or the route for a plain service.
+ * @property code null when the answer was whole.
+ * @property meanGap mean time between tokens after the first.
+ * @property prefillTokens prompt tokens that were prefilled, over all attempts.
+ * @property wastedPrefillTokens prompt tokens whose prefill result was not decoded.
+ * @property refusedWithinRate whether the request was refused although the organisation was within its rate.
+ */
+data class RequestSummary(
+    val organisation: OrganisationId?,
+    val model: ModelId,
+    val workClass: WorkClass,
+    val code: ResultCode?,
+    val tokens: Int = 0,
+    val firstToken: Duration? = null,
+    val meanGap: Duration? = null,
+    val prefillTokens: Int = 0,
+    val wastedPrefillTokens: Int = 0,
+    val refusedWithinRate: Boolean = false,
+)
