Add the host reducer and the life of requests

Cause: the module rules need one place that turns their effects into each other's events and into the daemon's work.

--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
@@ -0,0 +1,400 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.KeptReply
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerFrame
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.port.LogFault
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.rules.fleet.FleetEffect
+import io.anvilvalve.rules.fleet.FleetEvent
+import io.anvilvalve.rules.fleet.FleetRules
+import io.anvilvalve.rules.release.ClaimRequest
+import io.anvilvalve.rules.release.ReleaseEffect
+import io.anvilvalve.rules.release.ReleaseEvent
+import io.anvilvalve.rules.release.ReleaseRules
+import io.anvilvalve.rules.scheduling.PoolScheduler
+import io.anvilvalve.rules.scheduling.SchedulingEvent
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** All decisions of an entry host: one event in, the effects to perform out. */
+class HostReducer(config: HostConfig) : Reducer<HostEvent, HostEffect> {
+    private val self = config.self
+    private val out = Outbox()
+
+    private val fleet = FleetRules(self = self, seed = config.seed, slots = config.limitSlots)
+    private val releases = ReleaseRules(self = self.incarnation, seed = config.seed)
+
+    private val follower = LogFollower(out, Random(config.seed), FollowerSink())
+    private val catchUp = PeerCatchUp(follower, ::send)
+    private val snapshots = Snapshots(self, out) { HostSnapshot(fleet.snapshot(), releases.snapshot()) }
+    private val keys = Keys()
+    private val admission = Admission(keys)
+    private val servers = Servers()
+    private val pools = PoolOwners(self)
+    private val inFlight = InFlightTable(::send)
+    private val backup = InFlightBackup(::send)
+    private val cancels = Cancels(out, onConfirmed = inFlight::remove)
+    private val placedWork = PlacedWork()
+    private val owned = OwnedPools(self.host, out, PoolScheduler(), pools, placedWork, ::placementDecided)
+    private val orphans = Orphans(out, backup, placedWork, cancels)
+    private val requests = ModelRequests(self, out, pools, cancels, inFlight, RequestLinks())
+    private val calls = ServiceCalls(out, CallLinks())
+    private val drain = Drain(out)
+    private val board = StatusBoard(out)
+
+    private var release = Release()
+    private var members: List<Member> = emptyList()
+    private var current = false
+    private var started = false
+    private var reachable: List<HostId> = listOf(self.host)
+
+    override fun reduce(event: HostEvent, now: Duration): List<HostEffect> {
+        out.now = now
+        if (!started) {
+            started = true
+            follower.start()
+        }
+        handle(event)
+        inFlight.flush(now)
+        return out.drain()
+    }
+
+    private fun handle(event: HostEvent) {
+        when (event) {
+            is HostEvent.LogRead -> follower.onRead(event.sentAt, event.result)
+            is HostEvent.Appended -> appended(event)
+            is HostEvent.FrameReceived -> frame(event.frame)
+            is HostEvent.LiveListRead -> if (servers.liveListRead(event.hosts)) serversChanged()
+            is HostEvent.RequestArrived -> requestArrived(event.request)
+            is HostEvent.ServiceArrived -> serviceArrived(event.request)
+            is HostEvent.CallerGone -> if (!requests.callerGone(event.id)) calls.callerGone(event.id)
+            is HostEvent.PrefillEnded -> requests.prefillEnded(event.id, event.attempt, event.result)
+            is HostEvent.TokensDelivered -> requests.tokensDelivered(event.id, event.attempt, event.delivered)
+            is HostEvent.DecodeEnded -> requests.decodeEnded(event.id, event.attempt, event.delivered, event.fault)
+            is HostEvent.ServiceReplied -> calls.replied(event.id, event.result)
+            is HostEvent.CancelAnswered -> cancels.answered(event.server, event.engineId, event.confirmed)
+            is HostEvent.LoadRead -> event.report?.let { owned.schedule(SchedulingEvent.LoadReported(event.server, it)) }
+            is HostEvent.CacheRead -> owned.schedule(SchedulingEvent.CacheReported(event.server, event.events))
+            is HostEvent.StateRead -> releases(ReleaseEvent.StateRead(event.server, event.state))
+            is HostEvent.OrderAnswered -> releases(ReleaseEvent.OrderAnswered(event.server, event.refused))
+            is HostEvent.KeyWithdrawn -> keyWithdrawn(event)
+            is HostEvent.DrainRequested -> drain.start(event.deadline)
+            is HostEvent.Tick -> tick(event.wallMillis)
+        }
+    }
+
+    private fun tick(wallMillis: Long) {
+        fleet(FleetEvent.Tick)
+        releases(ReleaseEvent.Tick(wallMillis))
+        owned.schedule(SchedulingEvent.Tick)
+        requests.tick()
+        cancels.tick()
+        reachableChanged()
+        catchUp.tick(members, reachable, out.now)
+        if (current) snapshots.writeIfDue(members.map { it.host }, follower.applied)
+        drain.tick(
+            running = requests.size + calls.size,
+            cancels = cancels.size,
+            onDeadline = { failAll(ResultCode.STREAM_BROKEN) },
+            onLeaving = { fleet(FleetEvent.Drain) },
+        )
+        statusChanged()
+    }
+
+    private fun requestArrived(request: ModelRequest) {
+        val decision = if (accepts()) admission.check(request, release) else Admission.Decision.Refuse(notAccepting())
+        when (decision) {
+            is Admission.Decision.Refuse -> refuse(request.id, decision.code)
+            is Admission.Decision.Accept ->
+                requests.accept(RunningRequest(request, checkNotNull(decision.organisation), out.now))
+        }
+    }
+
+    private fun serviceArrived(request: ServiceRequest) {
+        val route = release.routes[request.route]
+        val decision = when {
+            !accepts() -> Admission.Decision.Refuse(notAccepting())
+            route == null -> Admission.Decision.Refuse(ResultCode.UNKNOWN_ROUTE)
+            else -> admission.check(request, route)
+        }
+        when (decision) {
+            is Admission.Decision.Refuse -> refuse(request.id, decision.code)
+            is Admission.Decision.Accept ->
+                calls.accept(RunningCall(request, checkNotNull(route), decision.organisation, out.now))
+        }
+    }
+
+    private fun accepts(): Boolean = !drain.refusesNew && release.number.value > 0
+
+    private fun notAccepting(): ResultCode = if (drain.refusesNew) ResultCode.DRAINING else ResultCode.NOT_READY
+
+    private fun refuse(id: RequestId, code: ResultCode) {
+        out.emit(HostEffect.Refuse(id, code, if (code.httpStatus == UNAVAILABLE) RETRY_AFTER_MILLIS else 0))
+    }
+
+    private fun appended(event: HostEvent.Appended) {
+        val fault = event.result.leftOrNull() ?: return
+        releases(ReleaseEvent.AppendFailed(event.records, mayHaveHappened = fault !is LogFault.RateLimited))
+    }
+
+    private fun frame(frame: PeerFrame) {
+        val from = members.firstOrNull { it.host == frame.sender && it.incarnation == frame.incarnation } ?: return
+        pools.heard(from.host, out.now)
+        catchUp.heard(from.host, frame.appliedOffset)
+        message(from, frame.appliedOffset, frame.message)
+    }
+
+    private fun message(from: Member, offset: LogOffset, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Probe, is PeerMessage.ProbeReply, is PeerMessage.TokenRequest, is PeerMessage.TokenGrant,
+            is PeerMessage.TokenReturn,
+            -> fleet(FleetEvent.PeerReceived(from, offset, message))
+            is PeerMessage.RecordsRequest -> catchUp.answer(from, message.from, snapshots::encode)
+            is PeerMessage.Records -> peerRecords(message)
+            is PeerMessage.KeyWithdrawn -> releases(ReleaseEvent.KeyWithdrawnHeard(message.hash))
+            is PeerMessage.ClaimBatch -> releases(ReleaseEvent.ClaimsReceived(message.claims))
+            is PeerMessage.InFlightDelta -> backup.apply(from, message)
+            is PeerMessage.InFlightResync -> inFlight.resync(from)
+            is PeerMessage.Placement -> requests.placement(message.id, message.attempt, message.outcome, from.host)
+            is PeerMessage.Submit, is PeerMessage.WorkProgress, is PeerMessage.WorkRunning -> owned.onMessage(message)
+        }
+    }
+
+    private fun peerRecords(message: PeerMessage.Records) {
+        val bytes = message.snapshot
+        val covered = message.covered
+        if (bytes != null && covered != null) snapshots.decode(covered, bytes)?.let { restore(covered, it) }
+        follower.onPeerRecords(message.from, message.records.map { it.bytes })
+    }
+
+    private fun keyWithdrawn(event: HostEvent.KeyWithdrawn) {
+        releases(ReleaseEvent.KeyWithdrawnHeard(event.hash))
+        out.emit(HostEffect.AppendToLog(listOf(LogRecord.KeyWithdrawn(event.hash))))
+    }
+
+    private fun fleet(event: FleetEvent) = fleet.reduce(event, out.now).forEach(::onFleet)
+
+    private fun onFleet(effect: FleetEffect) {
+        when (effect) {
+            is FleetEffect.Append -> out.emit(HostEffect.AppendToLog(listOf(effect.record)))
+            is FleetEffect.Send -> send(effect.to, effect.message)
+            is FleetEffect.Admitted -> if (!calls.admitted(effect.id)) requests.admitted(effect.id)
+            is FleetEffect.Refused ->
+                if (!calls.refused(effect.id, effect.code, effect.retryAfterMillis)) {
+                    requests.refused(effect.id, effect.code, effect.retryAfterMillis)
+                }
+            is FleetEffect.CurrentChanged -> currentChanged(effect.current)
+            is FleetEffect.MembersChanged -> membersChanged(effect.members)
+            is FleetEffect.RemovalEffective -> removed(effect.member)
+            is FleetEffect.SelfRemoved -> selfRemoved()
+            is FleetEffect.Left -> drain.left()
+        }
+    }
+
+    private fun currentChanged(next: Boolean) {
+        current = next
+        out.log(if (next) LogEvent.CURRENT_REGAINED else LogEvent.CURRENT_LOST, "applied" to follower.applied)
+        releases(ReleaseEvent.MembersChanged(members, current))
+        statusChanged()
+    }
+
+    private fun membersChanged(next: List<Member>) {
+        val known = members.map { it.incarnation }.toSet()
+        next.filter { it.incarnation !in known }.forEach { out.log(LogEvent.MEMBER_JOINED, "member" to it.incarnation) }
+        members = next
+        pools.membersChanged(next, out.now)
+        inFlight.chooseBackup(BackupChoice.of(self, next))
+        releases(ReleaseEvent.MembersChanged(next, current))
+        reachableChanged()
+    }
+
+    private fun removed(member: Member) {
+        out.log(LogEvent.MEMBER_REMOVED, "member" to member.incarnation)
+        releases(ReleaseEvent.RemovalEffective(member.incarnation))
+        orphans.cancel(member, servers::get)
+        owned.schedule(SchedulingEvent.OriginRemoved(member.host))
+    }
+
+    private fun selfRemoved() {
+        failAll(ResultCode.STREAM_BROKEN)
+        out.emit(HostEffect.Exit(clean = false))
+    }
+
+    private fun failAll(code: ResultCode) {
+        requests.failAll(code)
+        calls.failAll(code)
+    }
+
+    private fun reachableChanged() {
+        val next = pools.reachable(out.now)
+        if (next == reachable) return
+        reachable = next
+        requests.ownersChanged()
+        owned.watch(release, servers.all)
+    }
+
+    private fun releases(event: ReleaseEvent) = releases.reduce(event, out.now).forEach(::onRelease)
+
+    private fun onRelease(effect: ReleaseEffect) {
+        when (effect) {
+            is ReleaseEffect.Append -> out.emit(HostEffect.AppendToLog(effect.records))
+            is ReleaseEffect.Send -> send(effect.to, effect.message)
+            is ReleaseEffect.ReleaseChanged -> releaseChanged(effect.release)
+            is ReleaseEffect.NoteRejected ->
+                out.log(LogEvent.RELEASE_REJECTED, "note" to effect.note, "faults" to effect.faults.size)
+            is ReleaseEffect.DeclaredGone -> fleet(FleetEvent.DeclaredGone(effect.incarnation))
+            is ReleaseEffect.KeyRevoked -> keyRevoked(effect)
+            is ReleaseEffect.ClaimWon -> calls.claimWon(effect.id)
+            is ReleaseEffect.ClaimReplayed -> calls.claimReplayed(effect.id, effect.reply)
+            is ReleaseEffect.ClaimRefused -> calls.refused(effect.id, effect.code)
+            is ReleaseEffect.ReadState -> servers[effect.server]?.let { out.emit(HostEffect.ReadState(it)) }
+            is ReleaseEffect.SendOrder -> servers[effect.server]?.let { server ->
+                out.log(LogEvent.ORDER_SENT, "server" to server.id, "order" to effect.order.id)
+                out.emit(HostEffect.SendOrder(server, effect.order))
+            }
+        }
+    }
+
+    private fun releaseChanged(next: Release) {
+        release = next
+        out.log(LogEvent.RELEASE_APPLIED, "release" to next.number, "offset" to follower.applied)
+        keys.releaseChanged(next)
+        servers.releaseChanged(next)
+        fleet(FleetEvent.LimitsChanged(next.organisations.values))
+        serversChanged()
+        statusChanged()
+    }
+
+    private fun serversChanged() {
+        owned.schedule(SchedulingEvent.ServersChanged(servers.all, release.models.values))
+        owned.watch(release, servers.all)
+    }
+
+    private fun keyRevoked(effect: ReleaseEffect.KeyRevoked) {
+        keys.revoke(effect.hash)
+        out.log(LogEvent.KEY_WITHDRAWN, "key" to effect.hash)
+        members.filter { it.host != self.host }.forEach { send(it, PeerMessage.KeyWithdrawn(effect.hash)) }
+        requests.keyRevoked(effect.hash)
+        calls.keyRevoked(effect.hash)
+    }
+
+    private fun placementDecided(origin: HostId, placement: PeerMessage.Placement) = if (origin == self.host) {
+        requests.placement(placement.id, placement.attempt, placement.outcome, self.host)
+    } else {
+        toHost(origin, placement)
+    }
+
+    private fun toHost(host: HostId, message: PeerMessage) {
+        members.firstOrNull { it.host == host }?.let { send(it, message) }
+    }
+
+    private fun send(to: Member, message: PeerMessage) {
+        val frame = PeerFrame(PeerFrame.VERSION, self.host, self.incarnation, follower.applied, message)
+        out.emit(HostEffect.SendFrame(to, frame))
+    }
+
+    private fun restore(covered: LogOffset, state: HostSnapshot): Boolean {
+        if (!follower.restoredTo(covered)) return false
+        releases(ReleaseEvent.Restored(covered, state.release))
+        fleet(FleetEvent.Restored(covered, state.fleet))
+        return true
+    }
+
+    private fun statusChanged() = board.update(
+        HostStatus(
+            host = self.host,
+            incarnation = self.incarnation,
+            release = release.number,
+            appliedOffset = follower.applied,
+            current = current,
+            ready = current && release.number.value > 0 && !drain.active,
+            draining = drain.active,
+            members = members.map { it.incarnation },
+            models = release.models.keys.toList(),
+            running = requests.size + calls.size,
+        ),
+    )
+
+    private inner class FollowerSink : LogFollower.Sink {
+        override fun apply(offset: LogOffset, record: LogRecord, bytes: ByteArray) {
+            catchUp.applied(offset, bytes)
+            snapshots.applied(record, bytes.size)
+            if (record is LogRecord.SnapshotChunk) {
+                snapshots.offer(record)
+                return
+            }
+            releases(ReleaseEvent.RecordApplied(offset, record))
+            fleet(FleetEvent.RecordApplied(offset, record))
+        }
+
+        override fun offerSnapshot(offset: LogOffset, chunk: LogRecord.SnapshotChunk): LogOffset? {
+            val (covered, state) = snapshots.offer(chunk) ?: return null
+            return covered.takeIf { restore(covered, state) }
+        }
+
+        override fun tailReached(sentAt: Duration) {
+            releases(ReleaseEvent.TailReached)
+            fleet(FleetEvent.TailReached(sentAt))
+        }
+
+        override fun failed() = fleet(FleetEvent.LogFailed)
+    }
+
+    private inner class RequestLinks : ModelRequests.Links {
+        override fun server(id: BackendServerId): BackendServer? = servers[id]
+
+        override fun admit(running: RunningRequest, deadline: Duration) =
+            fleet(FleetEvent.Admit(running.request.id, running.organisation, running.charged, deadline))
+
+        override fun settle(id: RequestId, used: Long) = fleet(FleetEvent.Settle(id, used))
+
+        override fun isCurrent(): Boolean = current
+
+        override fun toOwner(owner: HostId, message: PeerMessage) =
+            if (owner == self.host) owned.onMessage(message) else toHost(owner, message)
+    }
+
+    private inner class CallLinks : ServiceCalls.Links {
+        override fun server(id: BackendServerId): BackendServer? = servers[id]
+
+        override fun admit(call: RunningCall, deadline: Duration) = fleet(
+            FleetEvent.Admit(call.request.id, checkNotNull(call.organisation), call.route.costTokens, deadline),
+        )
+
+        override fun settle(id: RequestId, used: Long) = fleet(FleetEvent.Settle(id, used))
+
+        override fun claim(call: RunningCall) {
+            val request = ClaimRequest(
+                organisation = call.organisation ?: OPEN_ORGANISATION,
+                route = call.route.id,
+                idempotencyKey = checkNotNull(call.request.idempotencyKey),
+                requestDigest = call.request.digest,
+            )
+            releases(ReleaseEvent.ClaimRequested(call.request.id, request))
+        }
+
+        override fun replied(id: RequestId, reply: KeptReply) = releases(ReleaseEvent.ClaimReplied(id, reply))
+
+        override fun giveUp(id: RequestId, sent: Boolean) = releases(ReleaseEvent.ClaimGivenUp(id, sent))
+    }
+
+    companion object {
+        private const val UNAVAILABLE = 503
+        private const val RETRY_AFTER_MILLIS = 1_000L
+
+        /** Claims on open routes are kept under a name that no organisation can have. */
+        private val OPEN_ORGANISATION = OrganisationId("")
+    }
+}
--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/ModelRequests.kt
@@ -0,0 +1,379 @@
+package io.anvilvalve.core
+
+import arrow.core.Either
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.peer.Phase
+import io.anvilvalve.api.peer.PlacementOutcome
+import io.anvilvalve.api.peer.WorkItem
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.port.KvHandle
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.result.Executed
+import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.core.RunningRequest.Stage
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Life of callers' requests to models at the host that accepted them: admission, placement, prefill, decode, end. */
+internal class ModelRequests(
+    private val self: Member,
+    private val out: Outbox,
+    private val pools: PoolOwners,
+    private val cancels: Cancels,
+    private val inFlight: InFlightTable,
+    private val links: Links,
+) {
+    /** What the requests need from the rest of the host. */
+    interface Links {
+        fun server(id: BackendServerId): BackendServer?
+
+        fun admit(running: RunningRequest, deadline: Duration)
+
+        fun settle(id: RequestId, used: Long)
+
+        /** Whether the host has recent evidence of the log; without it nothing new is started. */
+        fun isCurrent(): Boolean
+
+        fun toOwner(owner: HostId, message: PeerMessage)
+    }
+
+    private val requests = LinkedHashMap<RequestId, RunningRequest>()
+    private val retries = RetryBudget()
+
+    val size: Int get() = requests.size
+
+    fun accept(running: RunningRequest) {
+        requests[running.request.id] = running
+        retries.onRequest()
+        links.admit(running, deadline = out.now + ADMISSION_WAIT)
+    }
+
+    fun admitted(id: RequestId) {
+        val running = requests[id]
+        if (running == null) links.settle(id, used = 0) else submit(running)
+    }
+
+    fun refused(id: RequestId, code: ResultCode, retryAfterMillis: Long): Boolean {
+        val running = requests.remove(id) ?: return false
+        out.emit(HostEffect.Refuse(id, code, retryAfterMillis))
+        measure(running, code)
+        return true
+    }
+
+    fun placement(id: RequestId, attempt: Int, outcome: PlacementOutcome, from: HostId) {
+        val running = requests[id]
+        if (running == null || running.attempt != attempt || running.stage != Stage.PLACEMENT) {
+            val wanted = running?.attempt == attempt && running.owner == from
+            if (!wanted) releaseAtOwner(id, attempt, outcome, from)
+            return
+        }
+        when (outcome) {
+            is PlacementOutcome.Placed -> start(running, outcome, from)
+            is PlacementOutcome.Refused -> end(running, outcome.code, outcome.retryAfterMillis)
+        }
+    }
+
+    fun prefillEnded(id: RequestId, attempt: Int, result: Either<BackendFault, KvHandle>) {
+        val running = requests[id]?.takeIf { it.attempt == attempt && it.stage == Stage.PREFILL } ?: return
+        result.fold(
+            ifLeft = { prefillFailed(running, it) },
+            ifRight = { kv ->
+                running.kv = kv
+                running.kvFrom = running.placed
+                running.kvExpiresAt = out.now + kv.expiresMillis.milliseconds
+                running.prefillTokens += running.request.promptTokens + running.delivered
+                report(running, Phase.PREFILL_FINISHED)
+                decode(running, kv)
+            },
+        )
+    }
+
+    fun tokensDelivered(id: RequestId, attempt: Int, delivered: Int) {
+        val running = requests[id]?.takeIf { it.attempt == attempt } ?: return
+        if (delivered > running.delivered) running.delivered = delivered
+        if (running.firstTokenAt == null) running.firstTokenAt = out.now
+        if (running.stage == Stage.DECODE && running.kv != null) {
+            report(running, Phase.FIRST_TOKEN)
+            running.kv = null
+        }
+    }
+
+    fun decodeEnded(id: RequestId, attempt: Int, delivered: Int, fault: BackendFault?) {
+        val running = requests[id]?.takeIf { it.attempt == attempt && it.stage == Stage.DECODE } ?: return
+        running.delivered = maxOf(running.delivered, delivered)
+        if (running.firstTokenAt == null && delivered > 0) running.firstTokenAt = out.now
+        if (fault == null) finish(running) else decodeFailed(running, fault)
+    }
+
+    fun callerGone(id: RequestId): Boolean {
+        val running = requests[id] ?: return false
+        end(running, ResultCode.CALLER_GONE)
+        return true
+    }
+
+    fun keyRevoked(hash: KeyHash) =
+        requests.values.filter { it.request.key == hash }.forEach { end(it, ResultCode.KEY_WITHDRAWN) }
+
+    fun failAll(code: ResultCode) = requests.values.toList().forEach { end(it, code) }
+
+    /** Submits again what waits at an owner that is no longer the owner, and announces what runs to the new one. */
+    fun ownersChanged() {
+        for (running in requests.values) {
+            if (running.stage == Stage.ADMISSION) continue
+            val owner = pools.owner(running.request.model, out.now)
+            if (owner == running.owner) continue
+            val placed = running.placed
+            running.owner = owner
+            if (running.stage == Stage.PLACEMENT) {
+                links.toOwner(owner, PeerMessage.Submit(item(running), running.attempt))
+            } else if (placed != null) {
+                links.toOwner(owner, PeerMessage.WorkRunning(item(running), running.attempt, placed))
+            }
+        }
+    }
+
+    fun tick() {
+        for (running in requests.values.toList()) {
+            if (running.stage != Stage.PLACEMENT) continue
+            if (out.now - running.stageSince > PLACEMENT_LIMIT) {
+                end(running, ResultCode.DEADLINE_UNREACHABLE, retryAfterMillis = 1_000)
+            } else if (out.now - running.submittedAt > RESUBMIT_AFTER) {
+                resubmit(running)
+            }
+        }
+    }
+
+    private fun submit(running: RunningRequest) {
+        running.attempt += 1
+        running.placed = null
+        running.owner = pools.owner(running.request.model, out.now)
+        running.enter(Stage.PLACEMENT, out.now)
+        send(running)
+    }
+
+    private fun send(running: RunningRequest) {
+        running.submittedAt = out.now
+        links.toOwner(checkNotNull(running.owner), PeerMessage.Submit(item(running), running.attempt))
+    }
+
+    /** Repeats a submit that may be lost; an owner that has been silent since is replaced by this host itself. */
+    private fun resubmit(running: RunningRequest) {
+        val owner = checkNotNull(running.owner)
+        if (owner != self.host && !pools.heardSince(owner, running.submittedAt)) {
+            links.toOwner(owner, progress(running, Phase.CANCELLED))
+            running.attempt += 1
+            running.owner = self.host
+        }
+        send(running)
+    }
+
+    private fun item(running: RunningRequest): WorkItem = with(running.request) {
+        WorkItem(
+            id = id,
+            origin = self.host,
+            originDataCentre = self.dataCentre,
+            organisation = running.organisation,
+            model = model,
+            workClass = workClass,
+            promptTokens = promptTokens + running.delivered,
+            maxTokens = maxTokens - running.delivered,
+            adapter = adapter,
+            prefixHashes = prefixHashes,
+            firstTokenBudgetMicros = firstTokenBudget(running).inWholeMicroseconds,
+        )
+    }
+
+    /** A resumed stream has had its first token; its budget bounds the interruption that the caller sees. */
+    private fun firstTokenBudget(running: RunningRequest): Duration =
+        if (running.delivered > 0) FIRST_TOKEN_TARGET else FIRST_TOKEN_TARGET - (out.now - running.arrivedAt)
+
+    private fun start(running: RunningRequest, placed: PlacementOutcome.Placed, owner: HostId) {
+        val prefill = links.server(placed.prefill)
+        val decode = links.server(placed.decode)
+        running.owner = owner
+        running.placed = placed
+        if (!links.isCurrent()) {
+            end(running, ResultCode.NOT_CURRENT, retryAfterMillis = 1_000)
+            return
+        }
+        if (prefill == null || decode == null) {
+            report(running, Phase.CANCELLED)
+            submit(running)
+            return
+        }
+        inFlight.add(running.engineId(), listOf(prefill, decode))
+        val kv = running.kv
+        if (kv != null && running.kvFrom?.prefill == placed.prefill && out.now + KV_MARGIN < running.kvExpiresAt) {
+            report(running, Phase.PREFILL_FINISHED)
+            decode(running, kv)
+            return
+        }
+        dropKv(running)
+        running.enter(Stage.PREFILL, out.now)
+        report(running, Phase.PREFILL_STARTED)
+        out.emit(
+            HostEffect.StartPrefill(running.request.id, running.attempt, prefill, placed.priority, running.delivered),
+        )
+    }
+
+    private fun decode(running: RunningRequest, kv: KvHandle) {
+        val placed = checkNotNull(running.placed)
+        val server = links.server(placed.decode)
+        running.enter(Stage.DECODE, out.now)
+        if (server == null) {
+            decodeFailed(running, BackendFault(Executed.NO, "withdrawn"))
+            return
+        }
+        out.emit(
+            HostEffect.StartDecode(
+                running.request.id,
+                running.attempt,
+                server,
+                kv,
+                placed.priority,
+                running.delivered,
+            ),
+        )
+    }
+
+    private fun prefillFailed(running: RunningRequest, fault: BackendFault) {
+        report(running, Phase.PREFILL_FAILED)
+        retryOrFail(running, fault, serversOf(running))
+    }
+
+    private fun decodeFailed(running: RunningRequest, fault: BackendFault) {
+        report(running, Phase.DECODE_FAILED)
+        val keepsKv = running.delivered == 0 && running.kv != null && out.now + KV_MARGIN < running.kvExpiresAt
+        if (!keepsKv) dropKv(running)
+        val decode = running.placed?.let { links.server(it.decode) }
+        retryOrFail(running, fault, if (keepsKv) listOfNotNull(decode) else serversOf(running))
+    }
+
+    private fun retryOrFail(running: RunningRequest, fault: BackendFault, cancelAt: List<BackendServer>) {
+        out.emit(HostEffect.StopAttempt(running.request.id, running.attempt))
+        cancelAt.forEach { cancels.start(it, running.engineId()) }
+        if (running.attempt < MAX_ATTEMPTS && retries.tryRetry()) {
+            if (running.delivered > 0) {
+                out.log(LogEvent.STREAM_RESUMED, "request" to running.request.id, "from" to running.delivered)
+            }
+            submit(running)
+        } else {
+            val code = if (running.delivered > 0) ResultCode.STREAM_BROKEN else ResultCode.BACKEND_FAILED
+            out.log(LogEvent.REQUEST_FAILED, "request" to running.request.id, "reason" to fault.reason)
+            forget(running, code)
+            out.emit(HostEffect.FailAnswer(running.request.id, code))
+        }
+    }
+
+    private fun finish(running: RunningRequest) {
+        report(running, Phase.DECODE_FINISHED)
+        inFlight.remove(running.engineId())
+        forget(running, code = null)
+        out.emit(HostEffect.FinishAnswer(running.request.id))
+    }
+
+    /** Ends a request that has not finished: frees every place it holds and answers the caller. */
+    private fun end(running: RunningRequest, code: ResultCode, retryAfterMillis: Long = 0) {
+        val started = running.stage == Stage.PREFILL || running.stage == Stage.DECODE
+        if (running.stage != Stage.ADMISSION) report(running, Phase.CANCELLED)
+        if (started) {
+            out.emit(HostEffect.StopAttempt(running.request.id, running.attempt))
+            serversOf(running).forEach { cancels.start(it, running.engineId()) }
+        }
+        dropKv(running)
+        forget(running, code)
+        if (started || running.delivered > 0) {
+            out.emit(HostEffect.FailAnswer(running.request.id, code))
+        } else {
+            out.emit(HostEffect.Refuse(running.request.id, notRun(running, code), retryAfterMillis))
+        }
+    }
+
+    /** A withdrawn key that stops a request before its first prefill is a plain refusal. */
+    private fun notRun(running: RunningRequest, code: ResultCode): ResultCode =
+        if (code == ResultCode.KEY_WITHDRAWN && running.prefillTokens == 0) ResultCode.KEY_INVALID else code
+
+    private fun forget(running: RunningRequest, code: ResultCode?) {
+        requests.remove(running.request.id)
+        val used = if (running.prefillTokens == 0) 0 else running.request.promptTokens + running.delivered
+        if (running.stage != Stage.ADMISSION) links.settle(running.request.id, used.toLong())
+        if (code != null && running.delivered == 0) running.wastedPrefillTokens = running.prefillTokens
+        measure(running, code)
+    }
+
+    private fun dropKv(running: RunningRequest) {
+        val kv = running.kv ?: return
+        val source = running.kvFrom?.let { links.server(it.prefill) }
+        if (source != null) cancels.start(source, kv.requestId)
+        running.wastedPrefillTokens += running.request.promptTokens
+        running.kv = null
+    }
+
+    private fun serversOf(running: RunningRequest): List<BackendServer> =
+        running.placed?.let { listOfNotNull(links.server(it.prefill), links.server(it.decode)).distinct() }.orEmpty()
+
+    private fun releaseAtOwner(id: RequestId, attempt: Int, outcome: PlacementOutcome, from: HostId) {
+        if (outcome is PlacementOutcome.Placed) {
+            links.toOwner(from, PeerMessage.WorkProgress(id, attempt, Phase.CANCELLED))
+        }
+    }
+
+    private fun report(running: RunningRequest, phase: Phase) {
+        running.owner?.let { links.toOwner(it, progress(running, phase)) }
+    }
+
+    private fun progress(running: RunningRequest, phase: Phase): PeerMessage.WorkProgress = PeerMessage.WorkProgress(
+        id = running.request.id,
+        attempt = running.attempt,
+        phase = phase,
+        tokens = running.delivered,
+        micros = (out.now - running.stageSince).inWholeMicroseconds,
+    )
+
+    private fun measure(running: RunningRequest, code: ResultCode?) {
+        val first = running.firstTokenAt
+        val gaps = running.delivered - 1
+        out.emit(
+            HostEffect.Measure(
+                RequestSummary(
+                    organisation = running.organisation,
+                    model = running.request.model,
+                    workClass = running.request.workClass,
+                    code = code,
+                    tokens = running.delivered,
+                    firstToken = first?.let { it - running.arrivedAt },
+                    meanGap = first?.takeIf { gaps > 0 }?.let { (out.now - it) / gaps },
+                    prefillTokens = running.prefillTokens,
+                    wastedPrefillTokens = minOf(running.wastedPrefillTokens, running.prefillTokens),
+                    refusedWithinRate = code != null && code in WITHIN_RATE,
+                ),
+            ),
+        )
+    }
+
+    companion object {
+        val FIRST_TOKEN_TARGET = 1_500.milliseconds
+        val ADMISSION_WAIT = 500.milliseconds
+        val RESUBMIT_AFTER = 400.milliseconds
+        val PLACEMENT_LIMIT = 30.seconds
+
+        /** A transfer that starts this close to the end of the prefill result's life would lose it. */
+        val KV_MARGIN = 100.milliseconds
+        const val MAX_ATTEMPTS = 4
+
+        private val WITHIN_RATE = setOf(
+            ResultCode.TOKENS_UNAVAILABLE,
+            ResultCode.QUEUE_FULL,
+            ResultCode.DEADLINE_UNREACHABLE,
+            ResultCode.NO_BACKEND_SERVER,
+            ResultCode.NOT_CURRENT,
+        )
+    }
+}
--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PeerCatchUp.kt
@@ -0,0 +1,53 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerMessage
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Exchange of log records with peers while a host cannot read the log. */
+internal class PeerCatchUp(private val follower: LogFollower, private val send: (Member, PeerMessage) -> Unit) {
+    private val recent = RecentRecords()
+    private val offsets = HashMap<HostId, LogOffset>()
+    private var askedAt = Duration.ZERO
+
+    fun applied(offset: LogOffset, bytes: ByteArray) = recent.add(offset, bytes)
+
+    fun heard(host: HostId, appliedOffset: LogOffset) {
+        offsets[host] = appliedOffset
+    }
+
+    /** Asks the peer that has applied most, when the log cannot be read and that peer is ahead. */
+    fun tick(members: List<Member>, reachable: Collection<HostId>, now: Duration) {
+        if (follower.logReadable || now - askedAt < ASK_INTERVAL) return
+        val ahead = members
+            .filter { it.host in reachable && (offsets[it.host] ?: LogOffset(-1)) > follower.applied }
+            .maxByOrNull { checkNotNull(offsets[it.host]) } ?: return
+        askedAt = now
+        send(ahead, PeerMessage.RecordsRequest(follower.applied.next()))
+    }
+
+    /** Answers with records, or with a snapshot when the asked records are no longer kept. */
+    fun answer(to: Member, from: LogOffset, snapshot: () -> ByteArray) {
+        val records = recent.from(from, REPLY_BYTES)
+        if (records != null) {
+            if (records.isNotEmpty()) send(to, PeerMessage.Records(from, records))
+            return
+        }
+        val bytes = snapshot()
+        if (bytes.size <= SNAPSHOT_BYTES) {
+            val covered = follower.applied
+            send(to, PeerMessage.Records(covered.next(), emptyList(), covered, bytes))
+        }
+    }
+
+    companion object {
+        val ASK_INTERVAL = 500.milliseconds
+        const val REPLY_BYTES = 256 * 1024
+
+        /** A frame holds at most 1 MB. */
+        const val SNAPSHOT_BYTES = 900 * 1024
+    }
+}
--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningCall.kt
@@ -0,0 +1,25 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.release.Route
+import kotlin.time.Duration
+
+/** State of one call to a plain service at the host that accepted it. */
+internal class RunningCall(
+    val request: ServiceRequest,
+    val route: Route,
+    val organisation: OrganisationId?,
+    val arrivedAt: Duration,
+) {
+    enum class Stage {
+        ADMISSION,
+        CLAIM,
+        SENT,
+    }
+
+    var stage = Stage.ADMISSION
+    var charged = false
+    var callerGone = false
+    val tried = LinkedHashSet<BackendServerId>()
+}
--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningRequest.kt
@@ -0,0 +1,40 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.peer.PlacementOutcome
+import io.anvilvalve.api.port.KvHandle
+import kotlin.time.Duration
+
+/** State of one caller's request to a model at the host that accepted it. */
+internal class RunningRequest(val request: ModelRequest, val organisation: OrganisationId, val arrivedAt: Duration) {
+    enum class Stage {
+        ADMISSION,
+        PLACEMENT,
+        PREFILL,
+        DECODE,
+    }
+
+    var stage = Stage.ADMISSION
+    var attempt = 0
+    var owner: HostId? = null
+    var submittedAt = Duration.ZERO
+    var stageSince = arrivedAt
+    var placed: PlacementOutcome.Placed? = null
+    var kv: KvHandle? = null
+    var kvFrom: PlacementOutcome.Placed? = null
+    var kvExpiresAt = Duration.ZERO
+    var delivered = 0
+    var firstTokenAt: Duration? = null
+    var prefillTokens = 0
+    var wastedPrefillTokens = 0
+
+    val charged: Long get() = (request.promptTokens + request.maxTokens).toLong()
+
+    fun engineId(): String = "${request.id.value}.$attempt"
+
+    fun enter(next: Stage, now: Duration) {
+        stage = next
+        stageSince = now
+    }
+}
--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/Servers.kt
@@ -0,0 +1,37 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.port.LiveHost
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Release
+
+/** Backend servers of the release in force, marked as leaving when the release or the live list says so. */
+internal class Servers {
+    private var release = Release()
+    private var leaving: Set<String> = emptySet()
+    private var known: Map<BackendServerId, BackendServer> = emptyMap()
+
+    val all: Collection<BackendServer> get() = known.values
+
+    operator fun get(id: BackendServerId): BackendServer? = known[id]
+
+    fun releaseChanged(next: Release) {
+        release = next
+        rebuild()
+    }
+
+    /** Takes the marks of the live list; returns whether any server changed. */
+    fun liveListRead(hosts: List<LiveHost>): Boolean {
+        val next = hosts.filter { it.leaving }.map { it.id.value }.toSet()
+        if (next == leaving) return false
+        leaving = next
+        rebuild()
+        return true
+    }
+
+    private fun rebuild() {
+        known = release.servers.mapValues { (id, server) ->
+            if (id.value in leaving) server.copy(leaving = true) else server
+        }
+    }
+}
