Add the first version of the pool scheduler

The pool owner needs one queue with exact occupancy. PoolScheduler queues requests by start-time fair queueing, places decode first, learns speeds from step times and guards servers with circuit breakers.

Not yet measured against other policies.

--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/CircuitBreaker.kt
@@ -0,0 +1,63 @@
+package io.anvilvalve.rules.scheduling
+
+/**
+ * Circuit breaker of one backend server.
+ *
+ * After a successful probe the allowed concurrency starts at one and doubles with every success, so that a server that
+ * has just recovered is not sent the whole backlog at once.
+ */
+internal class CircuitBreaker(private val settings: BreakerSettings) {
+    private var failures = 0
+    private var openUntil = 0L
+    private var openings = 0
+    private var allowance = Int.MAX_VALUE
+
+    /** Whether the server is in regular use. */
+    var healthy = true
+        private set
+
+    /** Requests that the server may hold at [now]: none while open, one while half open. */
+    fun allowance(now: Long): Int = when {
+        healthy -> allowance
+        now < openUntil -> 0
+        else -> 1
+    }
+
+    /** Records a success; returns true when the breaker closes. */
+    fun succeeded(): Boolean {
+        failures = 0
+        if (healthy) {
+            if (allowance < FULL_ALLOWANCE) allowance *= 2 else recovered()
+            return false
+        }
+        healthy = true
+        allowance = 2
+        return true
+    }
+
+    /** Records a failure at [now]; returns true when the breaker opens from closed. */
+    fun failed(now: Long): Boolean {
+        failures++
+        val opens = healthy && (failures >= settings.threshold || allowance < FULL_ALLOWANCE)
+        if (opens || (!healthy && now >= openUntil)) open(now)
+        return opens
+    }
+
+    private fun open(now: Long) {
+        val limit = settings.openTimeLimit.inWholeMicroseconds
+        val wait = settings.openTime.inWholeMicroseconds shl openings.coerceAtMost(MAX_DOUBLINGS)
+        openUntil = now + wait.coerceAtMost(limit)
+        openings++
+        healthy = false
+    }
+
+    private fun recovered() {
+        allowance = Int.MAX_VALUE
+        openings = 0
+    }
+
+    private companion object {
+        const val FULL_ALLOWANCE = 64
+        const val MAX_DOUBLINGS = 10
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/LinearEstimate.kt
@@ -0,0 +1,53 @@
+package io.anvilvalve.rules.scheduling
+
+/**
+ * Learns `y = offset + slope * x` from observations, with exponentially falling weight of older ones.
+ *
+ * Few observations, or observations at one [x] only, scale the prior instead of fitting a line.
+ */
+internal class LinearEstimate(private val priorOffset: Double, private val priorSlope: Double) {
+    private var weight = 0.0
+    private var meanX = 0.0
+    private var meanY = 0.0
+    private var varX = 0.0
+    private var covXY = 0.0
+
+    /** Whether anything was observed. */
+    val learned: Boolean get() = weight > 0.0
+
+    var offset = priorOffset
+        private set
+    var slope = priorSlope
+        private set
+
+    fun predict(x: Double): Double = offset + slope * x
+
+    /** Takes in that [y] was observed at [x]. */
+    fun observe(x: Double, y: Double) {
+        weight = weight * DECAY + 1.0
+        val share = 1.0 / weight
+        val dx = x - meanX
+        val dy = y - meanY
+        meanX += share * dx
+        meanY += share * dy
+        varX = (1 - share) * (varX + share * dx * dx)
+        covXY = (1 - share) * (covXY + share * dx * dy)
+        fit()
+    }
+
+    private fun fit() {
+        val scale = meanY / (priorOffset + priorSlope * meanX)
+        val ridge = RIDGE * meanX * meanX + Double.MIN_VALUE
+        slope = ((covXY + ridge * scale * priorSlope) / (varX + ridge)).coerceAtLeast(0.0)
+        offset = meanY - slope * meanX
+        if (offset < 0.0) {
+            offset = 0.0
+            slope = if (meanX > 0.0) meanY / meanX else slope
+        }
+    }
+
+    private companion object {
+        const val DECAY = 0.95
+        const val RIDGE = 0.05
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Placer.kt
@@ -0,0 +1,126 @@
+package io.anvilvalve.rules.scheduling
+
+import io.anvilvalve.api.release.Model
+import io.anvilvalve.api.release.Role
+
+/**
+ * Chooses servers for an attempt, decode first: a prefill is only started when a decode slot, KV pieces and link time
+ * are there for its result within the result's lifetime, and the first token meets its deadline.
+ */
+internal class Placer(private val settings: SchedulingSettings) {
+    /** Finds a place for [work] that can start at [now], or null when it has to wait. */
+    fun place(work: Work, pool: Pool, now: Long): Placement? {
+        val prefill = bestPrefill(work, pool, now) ?: return null
+        val tokens = uncachedTokens(work, prefill)
+        val micros = prefill.speed.predict(tokens).toLong()
+        val readyAt = prefill.prefillFreeAt(now) + micros
+        return withDecode(work, pool, Source(prefill, readyAt, micros, tokens), now)
+    }
+
+    /** Finds a decode server for [work] whose prefill result is held by [prefill] already. */
+    fun placeDecode(work: Work, pool: Pool, prefill: ServerState, now: Long): Placement? =
+        withDecode(work, pool, Source(prefill, now, 0, 0.0), now)
+
+    /** Shortest predicted time to the first token on idle servers, or null when no server may take [work]. */
+    fun bestCase(work: Work, pool: Pool): Long? {
+        val prefill =
+            pool.prefills.filter { admits(it, work) }.minOfOrNull { it.speed.predict(uncachedTokens(work, it)) }
+        val decode = pool.decodes.filter { admits(it, work) }.minOfOrNull { transferMicros(work, pool.model, it, it) }
+        return if (prefill == null || decode == null) null else prefill.toLong() + decode
+    }
+
+    /** Whether a prefill server can get another prefill at [now]. */
+    fun isOpen(server: ServerState, now: Long): Boolean = if (server.server.role == Role.PREFILL) {
+        val depth = minOf(settings.prefillDepth, server.server.slots, server.breaker.allowance(now))
+        server.held < depth && server.prefillFreeAt(now) - now <= settings.prefillLead.inWholeMicroseconds
+    } else {
+        server.held < server.decodeLimit(now)
+    }
+
+    private fun bestPrefill(work: Work, pool: Pool, now: Long): ServerState? {
+        var best: ServerState? = null
+        var bestScore = Double.MAX_VALUE
+        for (server in pool.prefills) {
+            if (!isOpen(server, now) || !admits(server, work)) continue
+            if (server.freeKv(now) < work.promptPieces) continue
+            val finish = server.prefillFreeAt(now) - now + server.speed.predict(uncachedTokens(work, server))
+            if (now + finish > work.deadline) continue
+            val score = finish + penalty(server, work)
+            if (score < bestScore) {
+                best = server
+                bestScore = score
+            }
+        }
+        return best
+    }
+
+    private fun withDecode(work: Work, pool: Pool, source: Source, now: Long): Placement? {
+        var best: ServerState? = null
+        var bestScore = Double.MAX_VALUE
+        for (server in pool.decodes) {
+            if (!isOpen(server, now) || !admits(server, work)) continue
+            if (server.freeKv(now) < work.kvPieces) continue
+            val score = decodeScore(server, source, work, now)
+            if (score < bestScore && transfer(work, pool.model, source, server) != null) {
+                best = server
+                bestScore = score
+            }
+        }
+        val decode = best ?: return null
+        val transfer = transfer(work, pool.model, source, decode) ?: return null
+        return Placement(source.server, decode, source.micros, source.tokens, transfer)
+    }
+
+    private fun decodeScore(server: ServerState, source: Source, work: Work, now: Long): Double {
+        val load = (server.held + 1.0) / server.decodeLimit(now).coerceAtLeast(1)
+        val near = server.server.dataCentre == source.server.server.dataCentre
+        val again = if (work.avoided === server) AVOIDED_LOAD else 0.0
+        return load + again + if (near) 0.0 else CROSS_CENTRE_LOAD
+    }
+
+    /** Time on both links, or null when the result would expire or the first token would be late. */
+    private fun transfer(work: Work, model: Model, source: Source, decode: ServerState): LinkSchedule.Transfer? {
+        val duration = transferMicros(work, model, source.server, decode)
+        val latest = source.readyAt + settings.resultLifetime.inWholeMicroseconds
+        var start = source.readyAt
+        while (start + duration <= latest) {
+            val next = decode.link.earliest(source.server.link.earliest(start, duration), duration)
+            if (next == start) {
+                val firstToken = start + duration + decode.speed.predict(decode.held + 1.0).toLong()
+                return if (firstToken <= work.deadline) LinkSchedule.Transfer(start, start + duration) else null
+            }
+            start = next
+        }
+        return null
+    }
+
+    private fun transferMicros(work: Work, model: Model, from: ServerState, to: ServerState): Long {
+        val rate = minOf(from.server.linkBytesPerSecond, to.server.linkBytesPerSecond).coerceAtLeast(1)
+        val bytes = work.item.promptTokens * model.kvBytesPerToken
+        return (bytes.toDouble() * MICROS_PER_SECOND / rate * maxOf(from.linkFactor, to.linkFactor)).toLong()
+    }
+
+    private fun uncachedTokens(work: Work, server: ServerState): Double {
+        val hits = server.prefixes.expectedHits(work.item.prefixHashes) * Work.PIECE_TOKENS
+        return (work.item.promptTokens - hits).coerceAtLeast(1.0)
+    }
+
+    private fun admits(server: ServerState, work: Work): Boolean = server.takesNewWork(work.item.model) &&
+        (work.item.adapter == null || work.item.adapter in server.server.adapters)
+
+    private fun penalty(server: ServerState, work: Work): Double {
+        val far = server.server.dataCentre != work.item.originDataCentre
+        val again = if (work.avoided === server) AVOIDED_MICROS else 0.0
+        return again + if (far) settings.crossCentrePenalty.inWholeMicroseconds.toDouble() else 0.0
+    }
+
+    /** Where the result of a prefill will be, and when. */
+    private class Source(val server: ServerState, val readyAt: Long, val micros: Long, val tokens: Double)
+
+    private companion object {
+        const val MICROS_PER_SECOND = 1_000_000.0
+        const val CROSS_CENTRE_LOAD = 0.1
+        const val AVOIDED_LOAD = 10.0
+        const val AVOIDED_MICROS = 1_000_000.0
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -0,0 +1,228 @@
+package io.anvilvalve.rules.scheduling
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.peer.PlacementOutcome.Placed
+import io.anvilvalve.api.peer.PlacementOutcome.Refused
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.release.Role
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.rules.scheduling.SchedulingEffect.HealthChanged
+import io.anvilvalve.rules.scheduling.SchedulingEffect.Reply
+import kotlin.time.Duration
+
+/** Scheduler of the pools that a host owns: queues submitted requests and places them on prefill and decode servers. */
+class PoolScheduler(private val settings: SchedulingSettings = SchedulingSettings()) :
+    Reducer<SchedulingEvent, SchedulingEffect> {
+    private val servers = LinkedHashMap<BackendServerId, ServerState>()
+    private val pools = LinkedHashMap<ModelId, Pool>()
+    private val works = WorkTable(settings)
+    private val placer = Placer(settings)
+    private val occupancy = Occupancy(settings)
+    private val retries = RetryBudget(settings.retryRatio, settings.retryBurst)
+    private var effects = ArrayList<SchedulingEffect>()
+
+    override fun reduce(event: SchedulingEvent, now: Duration): List<SchedulingEffect> {
+        val micros = now.inWholeMicroseconds
+        when (event) {
+            is SchedulingEvent.Submitted -> submitted(event, micros)
+            is SchedulingEvent.Progressed -> progressed(event, micros)
+            is SchedulingEvent.RunningAnnounced -> announced(event, micros)
+            is SchedulingEvent.Withdrawn -> withdrawn(event.id, micros)
+            is SchedulingEvent.OriginRemoved -> originRemoved(event.origin, micros)
+            is SchedulingEvent.ServersChanged -> serversChanged(event, micros)
+            is SchedulingEvent.LoadReported -> loadReported(event, micros)
+            is SchedulingEvent.CacheReported -> servers[event.server]?.prefixes?.report(event.events)
+            is SchedulingEvent.ServerFailed -> servers[event.server]?.let { failed(it, micros) }
+            SchedulingEvent.Tick -> tick(micros)
+        }
+        if (effects.isEmpty()) return emptyList()
+        return effects.also { effects = ArrayList() }
+    }
+
+    /** Attempts and KV pieces that are held at each server. */
+    internal fun heldByServer(): Map<BackendServerId, Pair<Int, Int>> =
+        servers.mapValues { (_, state) -> state.held to state.kvHeld }
+
+    internal fun waiting(): Int = pools.values.sumOf { it.queue.size }
+
+    private fun submitted(event: SchedulingEvent.Submitted, now: Long) {
+        val earlier = works[event.item.id]
+        if (earlier != null && event.attempt <= earlier.attempt) return repeated(earlier, event.attempt)
+        val work = Work(event.item, event.attempt, now)
+        val pool = pools[event.item.model]
+        when {
+            pool == null -> return refuse(work, ResultCode.UNKNOWN_MODEL, now)
+            !pool.hasServers -> return refuse(work, ResultCode.NO_BACKEND_SERVER, now)
+        }
+        if (earlier != null) replace(earlier, work, now)
+        if (earlier?.placed == null) {
+            retries.firstAttempt()
+        } else if (work.resultUntil <= now && !retries.tryRetry()) {
+            return refuse(work, ResultCode.NO_BACKEND_SERVER, now)
+        }
+        enqueue(work, pool, now)
+    }
+
+    private fun enqueue(work: Work, pool: Pool, now: Long) {
+        val bestCase = if (work.resultUntil > now) 0 else placer.bestCase(work, pool) ?: 0
+        work.latestStart = work.deadline - bestCase
+        when {
+            work.latestStart < now -> refuse(work, ResultCode.DEADLINE_UNREACHABLE, now)
+
+            !pool.queue.offer(work) -> refuse(work, ResultCode.QUEUE_FULL, now)
+
+            else -> {
+                works.put(work)
+                pump(pool, now)
+            }
+        }
+    }
+
+    /** Repeats the answer when the origin may not have received it. */
+    private fun repeated(work: Work, attempt: Int) {
+        val placed = work.placed ?: return
+        if (attempt == work.attempt && !work.started && !work.ended) reply(work, placed)
+    }
+
+    /** A later attempt ends the [earlier] one, and uses its prefill result while that lives. */
+    private fun replace(earlier: Work, work: Work, now: Long) {
+        end(earlier, now)
+        work.avoided = earlier.failedAt
+        if (earlier.resultUntil > now) {
+            work.resultUntil = earlier.resultUntil
+            work.prefill = earlier.prefill
+        }
+    }
+
+    private fun progressed(event: SchedulingEvent.Progressed, now: Long) {
+        val work = works[event.id] ?: return
+        if (work.attempt != event.attempt || work.ended || work.placed == null) return
+        val result = occupancy.progress(work, event, now)
+        result.succeeded?.let { succeeded(it) }
+        result.failed?.let {
+            work.failedAt = it
+            failed(it, now)
+        }
+        if (work.ended) works.ended(work, now)
+        pumpAll(now)
+    }
+
+    private fun announced(event: SchedulingEvent.RunningAnnounced, now: Long) {
+        val earlier = works[event.item.id]
+        val known = earlier != null && (earlier.ended || earlier.placed != null) && event.attempt <= earlier.attempt
+        if (known) return
+        if (earlier != null) end(earlier, now)
+        val work = Work(event.item, event.attempt, now)
+        occupancy.adopt(work, event.placed, servers[event.placed.prefill], servers[event.placed.decode], now)
+        works.put(work)
+    }
+
+    private fun withdrawn(id: RequestId, now: Long) {
+        val work = works[id] ?: return
+        if (work.ended) return
+        end(work, now)
+        pumpAll(now)
+    }
+
+    private fun originRemoved(origin: HostId, now: Long) {
+        works.live().filter { it.item.origin == origin }.forEach { end(it, now) }
+        pumpAll(now)
+    }
+
+    private fun serversChanged(event: SchedulingEvent.ServersChanged, now: Long) {
+        servers.values.forEach { it.released = true }
+        for (server in event.servers.filter { it.role != Role.SERVICE }) {
+            val known = servers[server.id]?.takeIf { it.server.role == server.role }
+            val state = known ?: ServerState(server, settings)
+            state.server = server
+            state.released = false
+            servers[server.id] = state
+        }
+        servers.values.removeIf { it.released && it.held == 0 }
+        val models = event.models.associateBy { it.id }
+        (pools.keys - models.keys).forEach { dropPool(it, now) }
+        models.values.forEach { model ->
+            val pool = pools.getOrPut(model.id) { Pool(model, FairQueue(settings.queueBound, settings.batchShare)) }
+            pool.model = model
+            val members = servers.values.filter { !it.released && model.id in it.server.models }
+            pool.prefills = members.filter { it.server.role == Role.PREFILL }
+            pool.decodes = members.filter { it.server.role == Role.DECODE }
+        }
+        pumpAll(now)
+    }
+
+    private fun dropPool(model: ModelId, now: Long) {
+        val pool = pools.remove(model) ?: return
+        pool.queue.takeLate(Long.MAX_VALUE).forEach { refuse(it, ResultCode.UNKNOWN_MODEL, now) }
+    }
+
+    private fun loadReported(event: SchedulingEvent.LoadReported, now: Long) {
+        servers[event.server]?.load?.report(event.report, now)
+        pumpAll(now)
+    }
+
+    private fun tick(now: Long) {
+        for (work in works.expired(now)) end(work, now)
+        pumpAll(now)
+    }
+
+    private fun pumpAll(now: Long) = pools.values.forEach { pump(it, now) }
+
+    /** Places waiting work while there is room. */
+    private fun pump(pool: Pool, now: Long) {
+        if (pool.queue.size == 0) return
+        for (late in pool.queue.takeLate(now)) refuse(late, ResultCode.DEADLINE_UNREACHABLE, now)
+        while (pool.queue.size > 0) {
+            val work = pool.queue.candidates().take(MAX_CANDIDATES).firstOrNull { tryPlace(it, pool, now) } ?: return
+            reply(work, checkNotNull(work.placed))
+        }
+    }
+
+    private fun tryPlace(work: Work, pool: Pool, now: Long): Boolean {
+        val holder = work.prefill?.takeIf { work.resultUntil > now }
+        val placement =
+            if (holder != null) placer.placeDecode(work, pool, holder, now) else placer.place(work, pool, now)
+        if (placement == null) return false
+        pool.queue.dispatch(work)
+        val priority = if (work.item.workClass == WorkClass.BATCH) BATCH_PRIORITY else INTERACTIVE_PRIORITY
+        work.placed = Placed(placement.prefill.server.id, placement.decode.server.id, priority)
+        occupancy.hold(work, placement, now)
+        return true
+    }
+
+    private fun end(work: Work, now: Long) {
+        if (work.ended) return
+        if (work.placed == null) pools[work.item.model]?.queue?.remove(work)
+        occupancy.release(work, now)
+        works.ended(work, now)
+    }
+
+    private fun refuse(work: Work, code: ResultCode, now: Long) {
+        work.state = Work.State.ENDED
+        works.put(work)
+        works.ended(work, now)
+        effects.add(Reply(work.item.origin, work.item.id, work.attempt, Refused(code)))
+    }
+
+    private fun reply(work: Work, placed: Placed) {
+        effects.add(Reply(work.item.origin, work.item.id, work.attempt, placed))
+    }
+
+    private fun succeeded(server: ServerState) {
+        if (server.breaker.succeeded()) effects.add(HealthChanged(server.server.id, true))
+    }
+
+    private fun failed(server: ServerState, now: Long) {
+        if (server.breaker.failed(now)) effects.add(HealthChanged(server.server.id, false))
+    }
+
+    private companion object {
+        const val MAX_CANDIDATES = 4
+        const val INTERACTIVE_PRIORITY = 0
+        const val BATCH_PRIORITY = 1
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/ReportedLoad.kt
@@ -0,0 +1,69 @@
+package io.anvilvalve.rules.scheduling
+
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.port.LoadReport
+import kotlin.math.exp
+
+/**
+ * Load that a backend server reports beyond what this pool owner placed there.
+ *
+ * A report is compared with the own count at the time when it was written, and its weight falls with its age.
+ */
+internal class ReportedLoad {
+    private var sequence = -1L
+    private var writtenAt = Long.MIN_VALUE / 2
+    private var excessRunning = 0
+    private var excessKv = 0
+    private var models: List<ModelId> = emptyList()
+    private val history = ArrayDeque<Held>()
+
+    var leaving = false
+        private set
+
+    /** Takes in [report] at [now]; an older report than the last is ignored. */
+    fun report(report: LoadReport, now: Long) {
+        val stale = report.sequence <= sequence && now - writtenAt < RESTART_MICROS
+        if (stale) return
+        sequence = report.sequence
+        writtenAt = now - report.ageMillis * MICROS_PER_MILLI
+        leaving = report.leaving
+        models = report.models
+        val own = heldBefore(writtenAt)
+        excessRunning = (report.running + report.waiting - own.count).coerceAtLeast(0)
+        excessKv = (report.kvPiecesTotal - report.kvPiecesFree - own.kv).coerceAtLeast(0)
+    }
+
+    /** An empty list of models says nothing. */
+    fun serves(model: ModelId): Boolean = models.isEmpty() || model in models
+
+    fun foreignRunning(now: Long): Int = if (excessRunning == 0) 0 else (excessRunning * weight(now)).toInt()
+
+    fun foreignKv(now: Long): Int = if (excessKv == 0) 0 else (excessKv * weight(now)).toInt()
+
+    fun heldChanged(now: Long, count: Int, kv: Int) {
+        history.addLast(Held(now, count, kv))
+        if (history.size > HISTORY) history.removeFirst()
+    }
+
+    private fun weight(now: Long): Double = exp(-(now - writtenAt) / DECAY_MICROS)
+
+    /** Most that was held within the uncertainty of the report's time. */
+    private fun heldBefore(time: Long): Held {
+        var best = Held(time, 0, 0)
+        for (held in history.asReversed()) {
+            best = Held(time, maxOf(best.count, held.count), maxOf(best.kv, held.kv))
+            if (held.at < time - UNCERTAINTY_MICROS) break
+        }
+        return best
+    }
+
+    private class Held(val at: Long, val count: Int, val kv: Int)
+
+    private companion object {
+        const val MICROS_PER_MILLI = 1_000
+        const val RESTART_MICROS = 10_000_000L
+        const val DECAY_MICROS = 2_000_000.0
+        const val UNCERTAINTY_MICROS = 500_000L
+        const val HISTORY = 128
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/SchedulingSettings.kt
@@ -0,0 +1,37 @@
+package io.anvilvalve.rules.scheduling
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Fixed properties of the pool scheduler.
+ *
+ * @property queueBound requests that one organisation may have waiting per model and class.
+ * @property batchShare share of the dispatched token cost that batch work gets while interactive work waits.
+ * @property tokenGap longest acceptable mean time between tokens of one answer.
+ * @property resultLifetime time after which an engine may drop the result of a prefill.
+ * @property prefillLead remaining work of a prefill server below which it gets its next prefill.
+ * @property prefillDepth prefills that a prefill server holds at once at most.
+ * @property crossCentrePenalty time that placing work in another data centre must save.
+ * @property startTimeout time after which a placement that was never started is released.
+ * @property silenceTimeout time after which a running request without progress is released.
+ * @property memory time for which ended requests are remembered, to recognise repeated and late events.
+ * @property retryRatio retries allowed per request.
+ * @property retryBurst retries allowed at once.
+ */
+data class SchedulingSettings(
+    val queueBound: Int = 256,
+    val batchShare: Double = 0.2,
+    val tokenGap: Duration = 28.milliseconds,
+    val resultLifetime: Duration = 800.milliseconds,
+    val prefillLead: Duration = 10.milliseconds,
+    val prefillDepth: Int = 4,
+    val crossCentrePenalty: Duration = 10.milliseconds,
+    val startTimeout: Duration = 5.seconds,
+    val silenceTimeout: Duration = 120.seconds,
+    val memory: Duration = 60.seconds,
+    val retryRatio: Double = 0.1,
+    val retryBurst: Double = 10.0,
+    val breaker: BreakerSettings = BreakerSettings(),
+)
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/ServerState.kt
@@ -0,0 +1,103 @@
+package io.anvilvalve.rules.scheduling
+
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Role
+
+/** What the pool owner knows of one backend server. Times are in microseconds. */
+internal class ServerState(var server: BackendServer, private val settings: SchedulingSettings) {
+    val breaker = CircuitBreaker(settings.breaker)
+    val prefixes = PrefixIndex()
+    val link = LinkSchedule()
+    val load = ReportedLoad()
+    var released = false
+
+    /** Observed transfer time as a multiple of the time that the link's rate gives. */
+    var linkFactor = 1.0
+        private set
+
+    /** Attempts that hold a slot, and the KV pieces that they hold. */
+    var held = 0
+        private set
+    var kvHeld = 0
+        private set
+
+    private var pendingPrefill = 0L
+    private var prefillBusySince = 0L
+    private var occupancy = 0.0
+    private var occupancyAt = 0L
+
+    /** Prefill time by uncached prompt tokens, or time between tokens by concurrency. */
+    val speed =
+        if (server.role == Role.PREFILL) {
+            LinearEstimate(PREFILL_OVERHEAD, PREFILL_PER_TOKEN)
+        } else {
+            LinearEstimate(STEP_BASE, STEP_PER_REQUEST)
+        }
+
+    fun takesNewWork(model: ModelId): Boolean =
+        !released && !server.leaving && !load.leaving && model in server.models && load.serves(model)
+
+    /** Time at which a prefill server is predicted to be done with what it holds. */
+    fun prefillFreeAt(now: Long): Long {
+        if (held == 0) return now
+        val elapsed = now - prefillBusySince
+        val remaining = pendingPrefill - elapsed
+        return now + if (remaining > 0) remaining else elapsed / OVERRUN_DIVISOR
+    }
+
+    fun freeKv(now: Long): Int = server.kvPieces - kvHeld - load.foreignKv(now)
+
+    /** Requests that a decode server can hold with the time between tokens on target. */
+    fun decodeLimit(now: Long): Int {
+        val target = settings.tokenGap.inWholeMicroseconds * PACE_MARGIN
+        val room = if (speed.slope > 0.0) (target - speed.offset) / speed.slope else Double.MAX_VALUE
+        val paced = room.coerceIn(1.0, server.slots.toDouble()).toInt()
+        return minOf(paced, breaker.allowance(now)) - load.foreignRunning(now)
+    }
+
+    fun holdPrefill(now: Long, micros: Long) {
+        if (held == 0) prefillBusySince = now
+        pendingPrefill += micros
+        changeHeld(now, 1)
+    }
+
+    fun releasePrefill(now: Long, micros: Long) {
+        pendingPrefill = (pendingPrefill - micros).coerceAtLeast(0)
+        prefillBusySince = now
+        changeHeld(now, -1)
+    }
+
+    /** Takes in that a transfer planned for [planned] microseconds took [observed]. */
+    fun transferred(planned: Long, observed: Long) {
+        if (planned <= 0) return
+        val ratio = linkFactor * observed / planned
+        linkFactor = (linkFactor + LINK_GAIN * (ratio - linkFactor)).coerceIn(1.0, MAX_LINK_FACTOR)
+    }
+
+    fun holdKv(pieces: Int) {
+        kvHeld += pieces
+    }
+
+    /** Changes the number of held attempts and integrates it over time. */
+    fun changeHeld(now: Long, change: Int) {
+        occupancy = occupancyIntegral(now)
+        occupancyAt = now
+        held += change
+        load.heldChanged(now, held, kvHeld)
+    }
+
+    /** Integral of the number of held attempts over time. */
+    fun occupancyIntegral(now: Long): Double = occupancy + held.toDouble() * (now - occupancyAt)
+
+    private companion object {
+        const val PREFILL_OVERHEAD = 5_000.0
+        const val PREFILL_PER_TOKEN = 50.0
+        const val STEP_BASE = 12_000.0
+        const val STEP_PER_REQUEST = 600.0
+        const val PACE_MARGIN = 0.97
+        const val LINK_GAIN = 0.1
+        const val MAX_LINK_FACTOR = 20.0
+        const val OVERRUN_DIVISOR = 4
+    }
+}
