--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -0,0 +1,20 @@
+package io.anvilvalve.bench
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.subcommands
+import io.anvilvalve.bench.policy.PolicyCommand
+
+/** Root of `anvilvalve-bench`. */
+internal class BenchCommand : CliktCommand(name = "anvilvalve-bench") {
+    override fun help(context: Context): String = "Measures the policy, the limits and the router."
+
+    override fun run() = Unit
+
+    companion object {
+        /** One line per subcommand; each lives in a package of its own. */
+        fun withSubcommands(): CliktCommand = BenchCommand().subcommands(
+            PolicyCommand(),
+        )
+    }
+}
