Add HTTP clients for the log service and the live list

Cause: the daemon and the operator client reach the platform's services over HTTP. Change: OkHttp clients that send each call at most once and tell whether a byte may have left.

--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpCalls.kt
@@ -0,0 +1,89 @@
+package io.anvilvalve.net
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.result.Executed
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.serialization.json.Json
+import okhttp3.Call
+import okhttp3.Callback
+import okhttp3.EventListener
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import kotlin.coroutines.resume
+
+/** JSON of the platform's services; unknown fields are skipped so that services can add some. */
+internal val wireJson = Json {
+    ignoreUnknownKeys = true
+    encodeDefaults = true
+    explicitNulls = false
+}
+
+private val jsonType = "application/json".toMediaType()
+
+internal fun jsonBody(text: String): RequestBody = text.toRequestBody(jsonType)
+
+/** Set when the first byte of a request may have left the host. */
+internal class SentMarker {
+    @Volatile
+    var sent: Boolean = false
+
+    val executed: Executed get() = if (sent) Executed.UNKNOWN else Executed.NO
+}
+
+/** Marks a call as sent just before its headers are written. */
+internal object SentListenerFactory : EventListener.Factory {
+    override fun create(call: Call): EventListener {
+        val marker = call.request().tag(SentMarker::class.java) ?: return EventListener.NONE
+        return object : EventListener() {
+            override fun requestHeadersStart(call: Call) {
+                marker.sent = true
+            }
+        }
+    }
+}
+
+/** An answer read to its end. */
+internal class HttpReply(val status: Int, val contentType: String?, val body: ByteArray) {
+    val text: String get() = body.decodeToString()
+}
+
+/** Performs [request] and reads at most [limit] bytes of its answer; cancelling the coroutine cancels the call. */
+internal suspend fun OkHttpClient.exchange(request: Request, limit: Int): Either<BackendFault, HttpReply> {
+    val marker = SentMarker()
+    val call = newCall(request.newBuilder().tag(SentMarker::class.java, marker).build())
+    return suspendCancellableCoroutine { continuation ->
+        continuation.invokeOnCancellation { call.cancel() }
+        call.enqueue(
+            object : Callback {
+                override fun onFailure(call: Call, e: IOException) =
+                    continuation.resume(e.toFault(marker.executed).left())
+
+                override fun onResponse(call: Call, response: Response) = continuation.resume(response.readWhole(limit))
+            },
+        )
+    }
+}
+
+internal fun IOException.toFault(executed: Executed): BackendFault =
+    BackendFault(executed, "${javaClass.simpleName}: ${message.orEmpty()}")
+
+private fun Response.readWhole(limit: Int): Either<BackendFault, HttpReply> = use {
+    try {
+        val source = body.source()
+        if (source.request(limit + 1L)) {
+            BackendFault(Executed.UNKNOWN, "answer exceeds $limit bytes", code).left()
+        } else {
+            HttpReply(code, header("Content-Type"), source.buffer.readByteArray()).right()
+        }
+    } catch (e: IOException) {
+        e.toFault(Executed.UNKNOWN).copy(status = code).left()
+    }
+}
--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
@@ -0,0 +1,40 @@
+package io.anvilvalve.net
+
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import okhttp3.OkHttpClient
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/** Builds the HTTP clients of a process. */
+object HttpClients {
+    private const val MAX_CALLS = 4_096
+    private const val IDLE_CONNECTIONS = 256
+    private const val IDLE_SECONDS = 60L
+
+    /**
+     * Returns a client that sends each call at most once.
+     *
+     * OkHttp repeats calls on connection faults and follows redirects by default; both would run a call twice.
+     */
+    fun create(connectTimeout: Duration = 1.seconds, readTimeout: Duration = 10.seconds): OkHttpClient =
+        OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .followSslRedirects(false)
+            .connectTimeout(connectTimeout.toJavaDuration())
+            .readTimeout(readTimeout.toJavaDuration())
+            .writeTimeout(readTimeout.toJavaDuration())
+            .dispatcher(unboundedDispatcher())
+            .connectionPool(ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+            .eventListenerFactory(SentListenerFactory)
+            .build()
+
+    /** OkHttp's default of 5 calls per server would queue streams behind each other. */
+    private fun unboundedDispatcher() = Dispatcher().apply {
+        maxRequests = MAX_CALLS
+        maxRequestsPerHost = MAX_CALLS
+    }
+}
--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/OkHttpLiveHostList.kt
@@ -0,0 +1,57 @@
+package io.anvilvalve.net
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.port.LiveHost
+import io.anvilvalve.api.port.LiveHostList
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.OkHttpClient
+import okhttp3.Request
+
+/** The platform's list of hosts over HTTP at [baseUrl]. */
+class OkHttpLiveHostList(private val client: OkHttpClient, baseUrl: String) : LiveHostList {
+    private val request = Request.Builder()
+        .url(baseUrl.toHttpUrl().newBuilder().addPathSegments("v1/hosts").build())
+        .build()
+
+    override suspend fun hosts(): Either<String, List<LiveHost>> = client.exchange(request, MAX_ANSWER_BYTES)
+        .mapLeft { it.reason }
+        .flatMap { if (it.status == OK) parse(it.text) else "status ${it.status}".left() }
+
+    private fun parse(text: String): Either<String, List<LiveHost>> =
+        Either.catch { wireJson.decodeFromString(Reply.serializer(), text).hosts.map(Line::toHost) }
+            .mapLeft { "malformed answer: ${it.message}" }
+
+    @Serializable
+    private class Reply(val hosts: List<Line>)
+
+    @Serializable
+    private class Line(
+        val id: String,
+        val address: String,
+        @SerialName("peer_port") val peerPort: Int,
+        @SerialName("data_centre") val dataCentre: String,
+        val region: String,
+        val state: String,
+    ) {
+        fun toHost() = LiveHost(
+            HostId(id),
+            address,
+            peerPort,
+            DataCentreId(dataCentre),
+            RegionId(region),
+            leaving = state == "leaving",
+        )
+    }
+
+    private companion object {
+        const val OK = 200
+        const val MAX_ANSWER_BYTES = 4 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/OkHttpLogService.kt
@@ -0,0 +1,109 @@
+package io.anvilvalve.net
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.port.LogFault
+import io.anvilvalve.api.port.LogPage
+import io.anvilvalve.api.port.LogService
+import io.anvilvalve.api.port.StoredRecord
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import java.util.Base64
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/**
+ * The platform's log over HTTP at [baseUrl], such as `http://127.0.0.1:7000`.
+ *
+ * @param timeout upper bound on a call, to which the wait of a read is added.
+ */
+class OkHttpLogService(private val client: OkHttpClient, baseUrl: String, private val timeout: Duration = 5.seconds) :
+    LogService {
+    private val base = baseUrl.toHttpUrl()
+
+    override suspend fun append(records: List<ByteArray>): Either<LogFault, LogOffset> {
+        val body = AppendBody(records.map { Base64.getEncoder().encodeToString(it) })
+        val request = Request.Builder()
+            .url(base.newBuilder().addPathSegments("v1/log/append").build())
+            .post(jsonBody(wireJson.encodeToString(AppendBody.serializer(), body)))
+            .build()
+        return send(request, AppendReply.serializer(), timeout).map { LogOffset(it.firstOffset) }
+    }
+
+    override suspend fun read(from: LogOffset, limit: Int, wait: Duration): Either<LogFault, LogPage> {
+        val url = base.newBuilder()
+            .addPathSegments("v1/log/read")
+            .addQueryParameter("from", from.value.toString())
+            .addQueryParameter("max", limit.toString())
+            .addQueryParameter("wait_ms", wait.inWholeMilliseconds.toString())
+            .build()
+        return send(Request.Builder().url(url).build(), ReadReply.serializer(), timeout + wait)
+            .flatMap { it.toPage(from) }
+    }
+
+    private suspend fun <T> send(request: Request, serializer: KSerializer<T>, limit: Duration): Either<LogFault, T> =
+        client.newBuilder()
+            .callTimeout(limit.toJavaDuration())
+            .readTimeout(limit.toJavaDuration())
+            .build()
+            .exchange(request, MAX_ANSWER_BYTES)
+            .mapLeft(::unavailable)
+            .flatMap { it.parse(serializer) }
+
+    private fun <T> HttpReply.parse(serializer: KSerializer<T>): Either<LogFault, T> = when (status) {
+        OK -> Either.catch { wireJson.decodeFromString(serializer, text) }
+            .mapLeft { LogFault.Unavailable("malformed answer: ${it.message}") }
+
+        TOO_MANY_REQUESTS -> LogFault.RateLimited.left()
+
+        else -> LogFault.Unavailable("status $status").left()
+    }
+
+    private fun unavailable(fault: BackendFault) = LogFault.Unavailable(fault.reason)
+
+    @Serializable
+    private class AppendBody(val records: List<String>)
+
+    @Serializable
+    private class AppendReply(@SerialName("first_offset") val firstOffset: Long)
+
+    @Serializable
+    private class Line(val offset: Long, val data: String)
+
+    @Serializable
+    private class ReadReply(
+        @SerialName("first_retained") val firstRetained: Long,
+        val end: Long,
+        val records: List<Line>,
+    ) {
+        /** Refuses pages whose records are not consecutive, because a skipped record would be lost for good. */
+        fun toPage(from: LogOffset): Either<LogFault, LogPage> {
+            val start = maxOf(from.value, 0)
+            if (start < firstRetained) return LogFault.Truncated(LogOffset(firstRetained)).left()
+            val consecutive = records.withIndex().all { (i, line) -> line.offset == start + i }
+            if (!consecutive || start + records.size > maxOf(end, start)) {
+                return LogFault.Unavailable("offsets are not consecutive").left()
+            }
+            return Either.catch {
+                records.map { StoredRecord(LogOffset(it.offset), Base64.getDecoder().decode(it.data)) }
+            }
+                .mapLeft { LogFault.Unavailable("malformed record: ${it.message}") }
+                .flatMap { LogPage(LogOffset(firstRetained), LogOffset(end), it).right() }
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val TOO_MANY_REQUESTS = 429
+        const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
+    }
+}
