--- /dev/null
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/EventQueue.kt
@@ -0,0 +1,29 @@
+package io.anvilvalve.verification
+
+import java.util.PriorityQueue
+import kotlin.time.Duration
+
+/** Actions in virtual time; actions at the same time run in the order in which they were added. */
+internal class EventQueue {
+    private class Entry(val at: Duration, val order: Long, val action: () -> Unit)
+
+    private val queue = PriorityQueue<Entry>(compareBy<Entry> { it.at }.thenBy { it.order })
+    private var order = 0L
+
+    var now = Duration.ZERO
+        private set
+
+    fun after(delay: Duration, action: () -> Unit) {
+        queue += Entry(now + delay, order++, action)
+    }
+
+    fun runUntil(end: Duration) {
+        while (true) {
+            val next = queue.peek()?.takeIf { it.at <= end } ?: break
+            queue.remove()
+            now = next.at
+            next.action()
+        }
+        now = end
+    }
+}
--- /dev/null
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Fault.kt
@@ -0,0 +1,41 @@
+package io.anvilvalve.verification
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.Model
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Faults of the design page; each hits the host at which a step was seen. */
+internal enum class Fault(val hit: Scenario.(VirtualHost) -> Unit) {
+    HOST_DIES({ host -> if (fleet.hosts.values.count { it.alive } > Scenario.HOSTS - 1) fleet.kill(host) }),
+    TRANSFER_STALLS({ fleet.backends.transfersToStall += 1 }),
+    CALLER_CANCELS({ host ->
+        fleet.ledger.entries.values.filter { it.host == host.member.host }.forEach { fleet.callerGone(it.id) }
+    }),
+    KEY_WITHDRAWN({ withdraw("large-key") }),
+    LOG_DOWN({
+        fleet.log.down = true
+        fleet.queue.after(20.seconds) { fleet.log.down = false }
+    }),
+    LOG_SLOW({
+        fleet.log.latency = 400.milliseconds
+        fleet.queue.after(20.seconds) { fleet.log.latency = 5.milliseconds }
+    }),
+    ANSWERS_LOST({
+        fleet.log.answersToLose += 2
+        fleet.backends.answersToLose += 2
+    }),
+    HOST_PAUSED({ host -> fleet.pause(host, 12.seconds) }),
+    OPERATORS_RACE({
+        fleet.publish(Change.PutModel(Model(ModelId("m"), version = "3")), expected = latestRelease())
+        fleet.publish(Change.PutModel(Model(ModelId("m"), version = "4")), expected = latestRelease())
+    }),
+    ENGINE_DIES({
+        fleet.backends.kill(BackendServerId("d0"))
+        fleet.queue.after(15.seconds) { fleet.backends.revive(BackendServerId("d0")) }
+    }),
+}
+
+private fun Scenario.latestRelease() = fleet.hosts.values.mapNotNull { it.status?.release }.max()
--- /dev/null
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Scenario.kt
@@ -0,0 +1,107 @@
+package io.anvilvalve.verification
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RouteId
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.Key
+import io.anvilvalve.api.release.Model
+import io.anvilvalve.api.release.Organisation
+import io.anvilvalve.api.release.Role
+import io.anvilvalve.api.release.Route
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Three hosts, two organisations, two prefill and two decode engines, and a route that may not be repeated. */
+internal class Scenario(seed: Long) {
+    val fleet = VirtualFleet(seed)
+    val invariants = Invariants(
+        fleet,
+        mapOf(SMALL to Invariants.Limit(RATE, BURST), LARGE to Invariants.Limit(RATE * 20, BURST * 20)),
+    )
+    private var calls = 0
+
+    fun host(index: Int): VirtualHost = fleet.hosts.values.toList()[index % fleet.hosts.size]
+
+    /** Starts the hosts, publishes the first release and waits until tokens have been refilled. */
+    fun warmUp() {
+        repeat(HOSTS) { fleet.start("h$it", BASE_PORT + it) }
+        fleet.queue.runUntil(1.seconds)
+        fleet.publish(*firstRelease())
+        fleet.queue.runUntil(READY)
+    }
+
+    /** Sends requests, calls and their repeats on all hosts, and publishes a second release. */
+    fun traffic() {
+        repeat(ROUNDS) { round ->
+            fleet.queue.after((round * 700).milliseconds) { burst(round) }
+        }
+        fleet.queue.after(900.milliseconds) { fleet.publish(Change.PutModel(Model(ModelId("m"), version = "2"))) }
+    }
+
+    private fun burst(round: Int) {
+        repeat(HOSTS) { i ->
+            if (!host(i).alive) return@repeat
+            fleet.request(host(i), LARGE, "large-key", prompt = 300, max = if (round == 1) 1_500 else 60)
+            fleet.request(host(i), SMALL, "small-key", prompt = 100, max = 40)
+        }
+        val key = "loan-${calls++}"
+        repeatCall(key, round)
+        fleet.queue.after(30.milliseconds) { repeatCall(key, round + 1) }
+        fleet.queue.after(1_500.milliseconds) { repeatCall(key, round + 2) }
+    }
+
+    private fun repeatCall(key: String, index: Int) {
+        if (host(index).alive) fleet.call(host(index), LARGE, "large-key", "loan", key)
+    }
+
+    fun withdraw(key: String) {
+        val hash = KeyHash.of(key)
+        if (hash in fleet.ledger.withdrawnKeys) return
+        fleet.ledger.withdrawnKeys[hash] = fleet.now
+        fleet.hosts.values.filter { it.alive }.forEach {
+            fleet.deliver(it, io.anvilvalve.core.HostEvent.KeyWithdrawn(hash))
+        }
+    }
+
+    private fun firstRelease(): Array<Change> = arrayOf(
+        Change.PutModel(Model(ModelId("m"))),
+        engine("p0", Role.PREFILL),
+        engine("p1", Role.PREFILL, fencing = true),
+        engine("d0", Role.DECODE),
+        engine("d1", Role.DECODE, fencing = true),
+        Change.PutBackendServer(BackendServer(BackendServerId("s0"), "127.0.0.1:1", DataCentreId("dc-0"), Role.SERVICE)),
+        Change.PutBackendServer(BackendServer(BackendServerId("s1"), "127.0.0.1:2", DataCentreId("dc-1"), Role.SERVICE)),
+        Change.PutOrganisation(Organisation(SMALL, RATE, BURST)),
+        Change.PutOrganisation(Organisation(LARGE, RATE * 20, BURST * 20)),
+        Change.PutKey(Key(KeyHash.of("small-key"), SMALL)),
+        Change.PutKey(Key(KeyHash.of("large-key"), LARGE)),
+        Change.PutRoute(Route(RouteId("loan"), listOf(BackendServerId("s0"), BackendServerId("s1")), repeatable = false)),
+    )
+
+    private fun engine(name: String, role: Role, fencing: Boolean = false) = Change.PutBackendServer(
+        BackendServer(
+            id = BackendServerId(name),
+            address = "127.0.0.1:${9000 + name.hashCode() % 100}",
+            dataCentre = DataCentreId("dc-0"),
+            role = role,
+            models = listOf(ModelId("m")),
+            checksFencing = fencing,
+        ),
+    )
+
+    companion object {
+        val SMALL = OrganisationId("small")
+        val LARGE = OrganisationId("large")
+        const val RATE = 50L
+        const val BURST = 1_000L
+        const val HOSTS = 3
+        const val BASE_PORT = 7000
+        const val ROUNDS = 4
+        val READY = 30.seconds
+    }
+}
--- /dev/null
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/VirtualFleet.kt
@@ -0,0 +1,240 @@
+package io.anvilvalve.verification
+
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.NoteId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.id.RouteId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerFrame
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.ReleaseNote
+import io.anvilvalve.api.result.Executed
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.core.HostEffect
+import io.anvilvalve.core.HostEvent
+import io.anvilvalve.core.ModelRequest
+import io.anvilvalve.core.ServiceRequest
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Several hosts with a log, a network and backend servers in virtual time; small fakes at the interfaces. */
+internal class VirtualFleet(seed: Long) {
+    val queue = EventQueue()
+    val log = VirtualLog(queue)
+    val backends = VirtualBackends(queue)
+    val ledger = Ledger()
+    val hosts = LinkedHashMap<HostId, VirtualHost>()
+    val random = Random(seed)
+
+    /** Called with every effect before it is performed; tests inject faults here. */
+    var onEffect: (VirtualHost, HostEffect) -> Unit = { _, _ -> }
+
+    /** Replaces an effect by others; tests of the checkers plant violations here. */
+    var mutate: (HostEffect) -> List<HostEffect> = { listOf(it) }
+
+    /** Chance that a frame between hosts is lost, and that it arrives twice. */
+    var frameLoss = 0.0
+    var frameDoubling = 0.0
+
+    /** Hosts that cannot exchange frames with the rest. */
+    val isolated = HashSet<HostId>()
+
+    private val streams = HashMap<Pair<RequestId, Int>, Boolean>()
+    private var starts = 0
+    private var requests = 0
+    private var notes = 0
+
+    val now: Duration get() = queue.now
+
+    fun start(name: String, port: Int): VirtualHost {
+        starts += 1
+        val id = HostId(name)
+        val centre = DataCentreId("dc-${port % DATA_CENTRES}")
+        val member = Member(id, Incarnation("$name#$starts"), "127.0.0.1:$port", centre, RegionId("r"))
+        val rate = 1.0 + (random.nextDouble() - 0.5) * MAX_DRIFT
+        val host = VirtualHost(member, random.nextLong(), now, rate)
+        hosts[id] = host
+        tick(host)
+        return host
+    }
+
+    fun publish(vararg changes: Change, expected: ReleaseNumber = ReleaseNumber((notes).toLong())): NoteId {
+        notes += 1
+        val id = NoteId("note-$notes-${random.nextInt()}")
+        log.append(listOf(LogRecord.Note(ReleaseNote(id, expected, "operator", changes.toList())))) {}
+        return id
+    }
+
+    fun request(host: VirtualHost, org: OrganisationId, key: String, prompt: Int, max: Int): RequestId {
+        val id = RequestId("q${++requests}")
+        ledger.entries[id] = Ledger.Entry(id, host.member.host, org, KeyHash.of(key), now, max, prompt)
+        val request = ModelRequest(id, KeyHash.of(key), ModelId("m"), prompt, max, WorkClass.INTERACTIVE)
+        deliver(host, HostEvent.RequestArrived(request))
+        return id
+    }
+
+    fun call(host: VirtualHost, org: OrganisationId, key: String, route: String, callKey: String): RequestId {
+        val id = RequestId("c${++requests}")
+        ledger.entries[id] = Ledger.Entry(id, host.member.host, org, KeyHash.of(key), now, 0, 0, callKey)
+        deliver(host, HostEvent.ServiceArrived(ServiceRequest(id, KeyHash.of(key), RouteId(route), callKey, callKey)))
+        return id
+    }
+
+    fun callerGone(id: RequestId) {
+        val entry = ledger.entries.getValue(id)
+        if (entry.answers.isNotEmpty() || entry.goneAt != null) return
+        entry.goneAt = now
+        hosts[entry.host]?.let { deliver(it, HostEvent.CallerGone(id)) }
+    }
+
+    /** The host loses power: nothing is sent any more and its callers' connections end. */
+    fun kill(host: VirtualHost) {
+        host.alive = false
+        ledger.entries.values.filter { it.host == host.member.host && it.answers.isEmpty() && it.goneAt == null }
+            .forEach {
+                it.lostWithHost = true
+                it.goneAt = now
+            }
+    }
+
+    fun pause(host: VirtualHost, time: Duration) {
+        if (host.paused) return
+        host.paused = true
+        queue.after(time) { host.resume().forEach { deliver(host, it) } }
+    }
+
+    fun deliver(host: VirtualHost, event: HostEvent) {
+        host.handle(event, now).forEach { effect ->
+            onEffect(host, effect)
+            mutate(effect).forEach { if (host.alive) perform(host, it) }
+        }
+    }
+
+    private fun tick(host: VirtualHost) {
+        if (!host.alive) return
+        if (!host.paused) deliver(host, HostEvent.Tick(WALL_START + now.inWholeMilliseconds))
+        queue.after(TICK) { tick(host) }
+    }
+
+    private fun perform(host: VirtualHost, effect: HostEffect) {
+        when (effect) {
+            is HostEffect.ReadLog -> queue.after(effect.delay) { readLog(host, effect) }
+            is HostEffect.AppendToLog -> log.append(effect.records) { deliver(host, HostEvent.Appended(effect.records, it)) }
+            is HostEffect.SendFrame -> send(host, effect.to, effect.frame)
+            is HostEffect.StartPrefill -> prefill(host, effect)
+            is HostEffect.StartDecode -> decode(host, effect)
+            is HostEffect.StopAttempt -> streams[effect.id to effect.attempt] = false
+            is HostEffect.CancelAttempt -> backends.cancel(effect.server.id, effect.engineId) {
+                deliver(host, HostEvent.CancelAnswered(effect.server.id, effect.engineId, it))
+            }
+            is HostEffect.CallService -> call(host, effect)
+            is HostEffect.ReadState ->
+                queue.after(1.milliseconds) {
+                    deliver(host, HostEvent.StateRead(effect.server.id, backends.state(effect.server)))
+                }
+            is HostEffect.SendOrder -> queue.after(1.milliseconds) {
+                val refused = backends.order(effect.server, effect.order.fencing, effect.order.target)
+                deliver(host, HostEvent.OrderAnswered(effect.server.id, refused))
+            }
+            is HostEffect.Refuse -> answer(effect.id, effect.code, effect.code.executed)
+            is HostEffect.FailAnswer -> {
+                if (host.status?.draining == true && effect.code == ResultCode.STREAM_BROKEN) ledger.cutByDrain += effect.id
+                answer(effect.id, effect.code, Executed.UNKNOWN)
+            }
+            is HostEffect.FinishAnswer -> answer(effect.id, null, null)
+            is HostEffect.ReplyService -> answer(effect.id, null, null, String(effect.reply.body))
+            is HostEffect.StatusChanged -> statusChanged(host, effect)
+            is HostEffect.Exit -> {
+                host.drainedClean = effect.clean
+                host.alive = false
+            }
+            is HostEffect.WatchServers, is HostEffect.ReadyChanged, is HostEffect.Log, is HostEffect.Measure -> Unit
+        }
+    }
+
+    private fun readLog(host: VirtualHost, effect: HostEffect.ReadLog) {
+        val sentAt = host.clock(now)
+        log.read(effect.from) { deliver(host, HostEvent.LogRead(sentAt, it)) }
+    }
+
+    private fun send(from: VirtualHost, to: Member, frame: PeerFrame) {
+        if (random.nextDouble() < frameLoss) return
+        val copies = if (random.nextDouble() < frameDoubling) 2 else 1
+        repeat(copies) {
+            queue.after(random.nextLong(MIN_HOP_MICROS, MAX_HOP_MICROS).let { it / 1000.0 }.milliseconds) {
+                val cut = (from.member.host in isolated) != (to.host in isolated)
+                val target = hosts[to.host]?.takeIf { it.member.incarnation == to.incarnation }
+                if (!cut && target != null) deliver(target, HostEvent.FrameReceived(frame))
+            }
+        }
+    }
+
+    private fun prefill(host: VirtualHost, effect: HostEffect.StartPrefill) {
+        ledger.entries[effect.id]?.let { it.startedAt = it.startedAt ?: now }
+        backends.prefill(effect.server, "${effect.id.value}.${effect.attempt}", effect.id) {
+            deliver(host, HostEvent.PrefillEnded(effect.id, effect.attempt, it))
+        }
+    }
+
+    private fun decode(host: VirtualHost, effect: HostEffect.StartDecode) {
+        val entry = ledger.entries.getValue(effect.id)
+        val stream = effect.id to effect.attempt
+        streams[stream] = true
+        backends.decode(
+            effect.server,
+            "${effect.id.value}.${effect.attempt}",
+            effect.id,
+            effect.kv,
+            effect.resumeFrom until entry.expectedTokens,
+            deliver = { count ->
+                if (streams[stream] == true && host.alive) {
+                    if (effect.resumeFrom > entry.delivered) ledger.tokenGaps += effect.id
+                    entry.delivered = maxOf(entry.delivered, count)
+                    deliver(host, HostEvent.TokensDelivered(effect.id, effect.attempt, entry.delivered))
+                }
+            },
+            ended = { deliver(host, HostEvent.DecodeEnded(effect.id, effect.attempt, entry.delivered, it)) },
+        )
+    }
+
+    private fun call(host: VirtualHost, effect: HostEffect.CallService) {
+        val entry = ledger.entries.getValue(effect.id)
+        entry.startedAt = entry.startedAt ?: now
+        backends.call(effect.server, checkNotNull(entry.callKey), effect.id) {
+            deliver(host, HostEvent.ServiceReplied(effect.id, it))
+        }
+    }
+
+    private fun answer(id: RequestId, code: ResultCode?, executed: Executed?, body: String? = null) {
+        ledger.entries[id]?.answers?.add(Ledger.Answer(code, executed, now, body))
+    }
+
+    private fun statusChanged(host: VirtualHost, effect: HostEffect.StatusChanged) {
+        host.status = effect.status
+        val incarnation = host.member.incarnation.value
+        ledger.inForce += Ledger.InForce(incarnation, effect.status.release, effect.status.models.size, now)
+    }
+
+    companion object {
+        const val DATA_CENTRES = 4
+        const val MAX_DRIFT = 0.01
+        const val MIN_HOP_MICROS = 300L
+        const val MAX_HOP_MICROS = 3_000L
+
+        /** Wall clock at the start, in milliseconds since 1970. */
+        const val WALL_START = 1_790_000_000_000L
+        val TICK = 100.milliseconds
+        val SETTLE = 20.seconds
+    }
+}
--- /dev/null
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/VirtualLog.kt
@@ -0,0 +1,89 @@
+package io.anvilvalve.verification
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.log.LogCodec
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.port.LogFault
+import io.anvilvalve.api.port.LogPage
+import io.anvilvalve.api.port.StoredRecord
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The platform's log in virtual time, with outages, slowness and lost answers. */
+internal class VirtualLog(private val queue: EventQueue) {
+    private val records = ArrayList<ByteArray>()
+    private val waiting = ArrayList<() -> Unit>()
+    private var firstRetained = 0L
+
+    var down = false
+    var latency = 5.milliseconds
+
+    /** Number of coming appends that take effect but whose answer is lost. */
+    var answersToLose = 0
+
+    val size: Int get() = records.size
+
+    fun append(batch: List<LogRecord>, answer: (Either<LogFault, LogOffset>) -> Unit) = queue.after(latency) {
+        if (down) {
+            queue.after(TIMEOUT) { answer(LogFault.Unavailable("down").left()) }
+        } else {
+            val first = LogOffset(records.size.toLong())
+            batch.mapTo(records) { LogCodec.encode(it) }
+            wake()
+            if (answersToLose > 0) {
+                answersToLose--
+                queue.after(TIMEOUT) { answer(LogFault.Unavailable("answer lost").left()) }
+            } else {
+                queue.after(latency) { answer(first.right()) }
+            }
+        }
+    }
+
+    fun read(from: LogOffset, answer: (Either<LogFault, LogPage>) -> Unit) = queue.after(latency) {
+        when {
+            down -> queue.after(TIMEOUT) { answer(LogFault.Unavailable("down").left()) }
+            from.value < records.size || from.value < firstRetained -> queue.after(latency) { answer(page(from)) }
+            else -> wait(from, answer)
+        }
+    }
+
+    /** Drops all records before [offset]. */
+    fun truncate(offset: Long) {
+        firstRetained = offset
+    }
+
+    private fun wait(from: LogOffset, answer: (Either<LogFault, LogPage>) -> Unit) {
+        var done = false
+        val reply = {
+            if (!done) {
+                done = true
+                queue.after(latency) { answer(if (down) LogFault.Unavailable("down").left() else page(from)) }
+            }
+        }
+        waiting += reply
+        queue.after(LONG_POLL, reply)
+    }
+
+    private fun wake() {
+        val replies = waiting.toList()
+        waiting.clear()
+        replies.forEach { it() }
+    }
+
+    private fun page(from: LogOffset): Either<LogFault, LogPage> {
+        val start = maxOf(from.value, firstRetained)
+        val end = minOf(records.size.toLong(), start + PAGE)
+        val stored = (start until end).map { StoredRecord(LogOffset(it), records[it.toInt()]) }
+        return LogPage(LogOffset(firstRetained), LogOffset(records.size.toLong()), stored).right()
+    }
+
+    companion object {
+        val TIMEOUT: Duration = 1.seconds
+        val LONG_POLL: Duration = 1.seconds
+        const val PAGE = 500
+    }
+}
