Add rendezvous hashing

Change: RendezvousHash in the API module, a 64-bit hash of key and node with the finalizer of MurmurHash3.

--- /dev/null
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/RendezvousHash.kt
@@ -0,0 +1,43 @@
+package io.anvilvalve.api
+
+/**
+ * Rendezvous hashing: every host that knows the same nodes picks the same one for a key.
+ *
+ * When a node goes, only the keys that it had change their node.
+ */
+object RendezvousHash {
+    private const val OFFSET_BASIS = -0x340d631b7bdddcdbL
+    private const val PRIME = 0x100000001b3L
+    private const val FIRST_MULTIPLIER = -0x00ae502812aa7333L
+    private const val SECOND_MULTIPLIER = -0x3b314601e57a13adL
+    private const val SHIFT = 33
+
+    /** Ends the key within the hashed text, so that no two pairs of key and node hash the same text. */
+    private const val SEPARATOR = '\u0000'
+
+    /** Returns the score of [node] for [key]; it depends on nothing else and is the same in every process. */
+    fun score(key: String, node: String): Long {
+        var hash = absorb(OFFSET_BASIS, key)
+        hash = (hash xor SEPARATOR.code.toLong()) * PRIME
+        return mix(absorb(hash, node))
+    }
+
+    /** Returns the node with the highest score for [key], or null when there is none; [name] identifies a node. */
+    fun <T> first(key: String, nodes: Iterable<T>, name: (T) -> String): T? = nodes.minWithOrNull(order(key, name))
+
+    /** Returns [nodes] by falling score for [key]; [name] identifies a node. */
+    fun <T> ranked(key: String, nodes: Iterable<T>, name: (T) -> String): List<T> = nodes.sortedWith(order(key, name))
+
+    private fun <T> order(key: String, name: (T) -> String): Comparator<T> =
+        compareByDescending<T> { score(key, name(it)) }.thenBy { name(it) }
+
+    private fun absorb(start: Long, text: String): Long =
+        text.fold(start) { hash, char -> (hash xor char.code.toLong()) * PRIME }
+
+    /** Finalizer of MurmurHash3; without it the scores of names that differ in the last character are close. */
+    private fun mix(hash: Long): Long {
+        var mixed = (hash xor (hash ushr SHIFT)) * FIRST_MULTIPLIER
+        mixed = (mixed xor (mixed ushr SHIFT)) * SECOND_MULTIPLIER
+        return mixed xor (mixed ushr SHIFT)
+    }
+}
