Add the release rules

Cause: the host reducer needs notes, keys and claims. Conclusion: the three paths that integrations use are covered by ReleaseRulesSpec.

--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ClaimTable.kt
@@ -0,0 +1,118 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.ClaimId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.log.Claim
+import io.anvilvalve.api.log.KeptReply
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Identity of a call that may not be repeated. */
+internal data class CallId(val organisation: OrganisationId, val callKey: String)
+
+internal val Claim.call: CallId get() = CallId(organisation, callKey)
+
+/**
+ * Claims in log order: which claim won each call, and the replies.
+ *
+ * A claim is kept for [keep] after the last record that named its call. A losing claim counts too: two claims of one
+ * call can both win only on hosts whose clocks put [keep] between them, even when the hosts forget at different times.
+ */
+internal class ClaimTable(private val keep: Duration, private val maxBodyBytes: Int = MAX_BODY_BYTES) {
+    internal class Entry(val claim: Claim, var reply: KeptReply?, var touched: Duration)
+
+    private val entries = LinkedHashMap<CallId, Entry>()
+    private val calls = HashMap<ClaimId, CallId>()
+    private val abandoned = LinkedHashMap<ClaimId, Duration>()
+    private val bodies = ArrayDeque<Entry>()
+    private var bodyBytes = 0
+
+    operator fun get(call: CallId): Entry? = entries[call]
+
+    /** Applies a claim; returns the entry of the winner, or null when the claim was abandoned before. */
+    fun claim(claim: Claim, now: Duration): Entry? {
+        val standing = entries[claim.call]
+        if (standing == null && claim.id in abandoned) return null
+        val entry = standing ?: Entry(claim, reply = null, now).also { calls[claim.id] = claim.call }
+        touch(entry, now)
+        return entry
+    }
+
+    /** Applies an abandonment; returns the call that is free again, or null when the claim had not won. */
+    fun abandon(id: ClaimId, now: Duration): CallId? {
+        val call = calls[id]
+        if (call != null && entries.getValue(call).reply != null) return null
+        abandoned.remove(id)
+        abandoned[id] = now
+        if (call != null) forget(call)
+        return call
+    }
+
+    /** Applies a reply; the first one stays, but for the statement that the outcome is unknown. */
+    fun settle(id: ClaimId, reply: KeptReply, now: Duration): CallId? {
+        val call = calls[id] ?: return null
+        val entry = entries.getValue(call)
+        if (entry.reply == null || entry.reply.isUnknown) keepReply(entry, reply.bounded())
+        touch(entry, now)
+        return call
+    }
+
+    /** Forgets what is older than [keep]. */
+    fun expire(now: Duration) {
+        while (entries.isNotEmpty() && now - entries.values.first().touched > keep) forget(entries.keys.first())
+        while (abandoned.isNotEmpty() && now - abandoned.values.first() > keep) abandoned.remove(abandoned.keys.first())
+    }
+
+    fun restore(state: ReleaseSnapshot, now: Duration) {
+        entries.clear()
+        calls.clear()
+        abandoned.clear()
+        bodies.clear()
+        bodyBytes = 0
+        state.claims.sortedByDescending { it.ageMillis }.forEach { kept ->
+            val entry = Entry(kept.claim, reply = null, now - kept.ageMillis.milliseconds)
+            entries[kept.claim.call] = entry
+            calls[kept.claim.id] = kept.claim.call
+            kept.reply?.let { keepReply(entry, it.bounded()) }
+        }
+        state.abandonedClaims.entries.sortedByDescending { it.value }
+            .forEach { (id, age) -> abandoned[id] = now - age.milliseconds }
+    }
+
+    fun keptClaims(now: Duration): List<KeptClaim> =
+        entries.values.map { KeptClaim(it.claim, it.reply, (now - it.touched).inWholeMilliseconds) }
+
+    fun abandonedClaims(now: Duration): Map<ClaimId, Long> = abandoned.mapValues {
+        (now - it.value).inWholeMilliseconds
+    }
+
+    private fun touch(entry: Entry, now: Duration) {
+        entry.touched = now
+        entries.remove(entry.claim.call)
+        entries[entry.claim.call] = entry
+    }
+
+    private fun forget(call: CallId) {
+        val entry = entries.remove(call) ?: return
+        calls.remove(entry.claim.id)
+        if (bodies.remove(entry)) bodyBytes -= entry.reply.bodySize
+    }
+
+    /** Keeps [reply] and drops the oldest bodies when all together are too large for the host's memory. */
+    private fun keepReply(entry: Entry, reply: KeptReply) {
+        entry.reply = reply
+        if (reply.bodySize == 0) return
+        bodies += entry
+        bodyBytes += reply.bodySize
+        while (bodyBytes > maxBodyBytes) {
+            val oldest = bodies.removeFirst()
+            bodyBytes -= oldest.reply.bodySize
+            oldest.reply = oldest.reply?.withoutBody()
+        }
+    }
+
+    private companion object {
+        /** A quarter of the memory that the control logic of a host may use at the target size. */
+        const val MAX_BODY_BYTES = 16 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/LogOutbox.kt
@@ -0,0 +1,125 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.log.Claim
+import io.anvilvalve.api.log.LogRecord
+import kotlin.time.Duration
+
+/**
+ * Records that this host appends until it reads them back.
+ *
+ * Every record kept here may be in the log more than once without harm. After a lost answer a record is appended again
+ * only when the log was read to its tail without showing it.
+ */
+internal class LogOutbox(private val times: ReleaseTimes) {
+    /** What to send now: [records] to the log in one call, and [gathered] to the host that gathers claims. */
+    class Batch(val records: List<LogRecord>, val gathered: List<Claim>)
+
+    private enum class Status { QUEUED, SENT, UNCERTAIN }
+
+    private class Item(val record: LogRecord?, val claim: Claim?, var due: Duration) {
+        var status = Status.QUEUED
+        var attempts = 0
+        var sentAt: Duration = -Duration.INFINITE
+    }
+
+    private val items = LinkedHashMap<String, Item>()
+    private var lastFlush = -Duration.INFINITE
+
+    /** Claims of other hosts; their owners repeat them. */
+    private val passedOn = ArrayDeque<Claim>()
+
+    /** Appends [record] from [due] on until it is confirmed; nothing changes when it is here already. */
+    fun add(record: LogRecord, due: Duration) {
+        items.getOrPut(keyOf(record)) { Item(record, claim = null, due) }
+    }
+
+    fun add(claim: Claim, due: Duration) {
+        items.getOrPut(keyOf(claim)) { Item(record = null, claim, due) }
+    }
+
+    fun passOn(claims: List<Claim>) {
+        passedOn += claims.take(MAX_PASSED_ON - passedOn.size)
+    }
+
+    /** Forgets a record that was read back. */
+    fun confirm(record: LogRecord) {
+        items.remove(keyOf(record))
+    }
+
+    fun confirm(claim: Claim) {
+        items.remove(keyOf(claim))
+    }
+
+    /** Forgets a claim; true when it may be in the log or reach it later. */
+    fun drop(claim: Claim): Boolean = items.remove(keyOf(claim))?.let { it.attempts > 0 } ?: true
+
+    /** An append of [records] failed. */
+    fun failed(records: List<LogRecord>, mayHaveHappened: Boolean, now: Duration) {
+        records.flatMap { keysOf(it) }.mapNotNull { items[it] }.filter { it.status == Status.SENT }.forEach {
+            it.status = if (mayHaveHappened) Status.UNCERTAIN else Status.QUEUED
+            it.due = now + backOff(it.attempts)
+        }
+    }
+
+    /** The log was read to its tail: what was uncertain and has not been read back may be appended again. */
+    fun tailReached(now: Duration) {
+        items.values.forEach {
+            if (it.status == Status.SENT && now - it.sentAt > times.appendTimeout) it.status = Status.UNCERTAIN
+            if (it.status == Status.UNCERTAIN) it.status = Status.QUEUED
+        }
+    }
+
+    /** Returns what is due; the first attempt of a claim goes to the gathering host when [gather] is set. */
+    fun flush(now: Duration, gather: Boolean): Batch {
+        val interval = if (isLogSlow(now)) times.slowLogBatch else times.claimBatch
+        if (now - lastFlush < interval) return Batch(emptyList(), emptyList())
+        val due = items.values.filter { it.status == Status.QUEUED && it.due <= now }.take(MAX_ITEMS)
+        val gathered = if (gather) due.filter { it.claim != null && it.attempts == 0 } else emptyList()
+        due.forEach { sent(it, now) }
+        gathered.forEach {
+            it.status = Status.UNCERTAIN
+            it.due = now + times.slowLogBatch * 2
+        }
+        val claims = due.filterNot { it in gathered }.mapNotNull { it.claim } + passedOn
+        passedOn.clear()
+        val records = due.mapNotNull { it.record } + claims.chunked(MAX_CLAIMS) { LogRecord.Claims(it.toList()) }
+        if (due.isNotEmpty() || records.isNotEmpty()) lastFlush = now
+        return Batch(records, gathered.mapNotNull { it.claim })
+    }
+
+    private fun sent(item: Item, now: Duration) {
+        item.status = Status.SENT
+        item.sentAt = now
+        item.attempts++
+    }
+
+    private fun isLogSlow(now: Duration): Boolean =
+        items.values.any { it.status == Status.SENT && now - it.sentAt > times.slowLogBatch }
+
+    private fun backOff(attempts: Int): Duration =
+        (times.firstRetry * (1 shl (attempts - 1).coerceIn(0, MAX_DOUBLINGS))).coerceAtMost(times.lastRetry)
+
+    private fun keysOf(record: LogRecord): List<String> = when (record) {
+        is LogRecord.Claims -> record.claims.map { keyOf(it) }
+        else -> listOf(keyOf(record))
+    }
+
+    private fun keyOf(claim: Claim): String = "claim ${claim.id}"
+
+    /** The statement that an outcome is unknown and a later reply are two records. */
+    private fun keyOf(record: LogRecord): String = when (record) {
+        is LogRecord.ClaimOutcome -> "outcome ${record.claim} ${record.reply.isUnknown}"
+        is LogRecord.ClaimAbandoned -> "abandoned ${record.claim}"
+        is LogRecord.KeyWithdrawn -> "withdrawn ${record.hash.hex}"
+        is LogRecord.OrderLease -> "lease ${record.holder}"
+        is LogRecord.OrderDone -> "done ${record.server} ${record.target}"
+        else -> "other"
+    }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 10
+        const val MAX_CLAIMS = 200
+        const val MAX_ITEMS = 1_000
+        const val MAX_PASSED_ON = 10_000
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseApplication.kt
@@ -0,0 +1,71 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.release.ReleaseNote
+
+/**
+ * Returns the release that [note] makes of this one; the note must be valid.
+ *
+ * A key in [withdrawn] stays out even if the note puts it.
+ */
+fun Release.applying(note: ReleaseNote, withdrawn: Set<KeyHash> = emptySet()): Release =
+    note.changes.fold(ReleaseBuilder(this, withdrawn)) { builder, change -> builder.apply { add(change) } }
+        .build()
+        .copy(number = number.next())
+
+/** Collects the changes of one note; maps of kinds that the note does not touch are shared with the old release. */
+internal class ReleaseBuilder(private val before: Release, private val withdrawn: Set<KeyHash>) {
+    private val servers = Entries(before.servers)
+    private val models = Entries(before.models)
+    private val adapters = Entries(before.adapters)
+    private val organisations = Entries(before.organisations)
+    private val keys = Entries(before.keys)
+    private val routes = Entries(before.routes)
+
+    fun add(change: Change) {
+        when (change) {
+            is Change.PutBackendServer -> servers.put(change.server.id, change.server)
+            is Change.WithdrawBackendServer -> servers.remove(change.id)
+            is Change.PutModel -> models.put(change.model.id, change.model)
+            is Change.WithdrawModel -> models.remove(change.id)
+            is Change.PutAdapter -> adapters.put(change.adapter.id, change.adapter)
+            is Change.WithdrawAdapter -> adapters.remove(change.id)
+            is Change.PutOrganisation -> organisations.put(change.organisation.id, change.organisation)
+            is Change.WithdrawOrganisation -> organisations.remove(change.id)
+            is Change.PutKey -> if (change.key.hash !in withdrawn) keys.put(change.key.hash, change.key)
+            is Change.WithdrawKey -> keys.remove(change.hash)
+            is Change.PutRoute -> routes.put(change.route.id, change.route)
+            is Change.WithdrawRoute -> routes.remove(change.id)
+            is Change.HostGone -> Unit
+        }
+    }
+
+    fun build(): Release = Release(
+        number = before.number,
+        servers = servers.result,
+        models = models.result,
+        adapters = adapters.result,
+        organisations = organisations.result,
+        keys = keys.result,
+        routes = routes.result,
+    )
+}
+
+/** Map that is copied at its first change. */
+internal class Entries<K, V>(private val before: Map<K, V>) {
+    private var copy: MutableMap<K, V>? = null
+
+    val result: Map<K, V> get() = copy ?: before
+
+    fun put(key: K, value: V) {
+        changed()[key] = value
+    }
+
+    fun remove(key: K) {
+        changed().remove(key)
+    }
+
+    private fun changed(): MutableMap<K, V> = copy ?: LinkedHashMap(before).also { copy = it }
+}
--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
@@ -0,0 +1,186 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.RendezvousHash
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.Release
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/**
+ * Release notes, keys, at-most-once claims and engine orders of one host.
+ *
+ * @param self this process.
+ * @param dataCentre data centre whose hosts may gather their claims at one of them.
+ * @param seed seed of the spread of withdrawals that several hosts append.
+ * @param gatherClaims whether one host of the data centre appends the claims of all.
+ */
+class ReleaseRules(
+    private val self: Incarnation,
+    private val dataCentre: DataCentreId,
+    seed: Long = 0,
+    private val times: ReleaseTimes = ReleaseTimes(),
+    private val gatherClaims: Boolean = false,
+) : Reducer<ReleaseEvent, ReleaseEffect> {
+    private val state = ReleaseState()
+    private val withdrawn = WithdrawnKeys()
+    private val outbox = LogOutbox(times)
+    private val table = ClaimTable(times.claimKeep * CLOCK_DRIFT + IdempotencyKeys.CLOCK_SKEW)
+    private val claims = ClaimCoordinator(self, table, outbox, times, ::isGone)
+    private val random = Random(seed)
+    private val removed = mutableSetOf<Incarnation>()
+    private var members = emptyList<Member>()
+    private var now = Duration.ZERO
+    private var out = mutableListOf<ReleaseEffect>()
+
+    /** Offset of the last record that was applied. */
+    var applied: LogOffset = LogOffset(-1)
+        private set
+
+    /** Release in force; withdrawn keys are not in it. */
+    val release: Release get() = state.release
+
+    override fun reduce(event: ReleaseEvent, now: Duration): List<ReleaseEffect> {
+        this.now = now
+        handle(event)
+        out += claims.takeEffects()
+        flush()
+        return out.also { out = mutableListOf() }
+    }
+
+    /** Returns the state as of [applied]. */
+    fun snapshot(): ReleaseSnapshot = state.snapshot().copy(
+        claims = table.keptClaims(now),
+        abandonedClaims = table.abandonedClaims(now),
+    )
+
+    /** Returns the organisation that a key speaks for, or null when the key is unknown or withdrawn. */
+    fun organisationOf(hash: KeyHash): OrganisationId? =
+        release.keys[hash]?.takeIf { it.hash.matches(hash) && hash !in withdrawn }?.organisation
+
+    private fun handle(event: ReleaseEvent) {
+        when (event) {
+            is ReleaseEvent.RecordApplied -> recordApplied(event)
+            is ReleaseEvent.Restored -> restored(event)
+            is ReleaseEvent.KeyWithdrawnHeard -> withdrawalHeard(event.hash)
+            is ReleaseEvent.TailReached -> tailReached()
+            is ReleaseEvent.AppendFailed -> appendFailed(event)
+            is ReleaseEvent.ClaimRequested -> claims.request(event.id, event.claim, now)
+            is ReleaseEvent.ClaimsReceived -> outbox.passOn(event.claims)
+            is ReleaseEvent.ClaimReplied -> claims.replied(event.id, event.reply, now)
+            is ReleaseEvent.ClaimGivenUp -> claims.givenUp(event.id, event.sent, now)
+            is ReleaseEvent.MembersChanged -> membersChanged(event)
+            is ReleaseEvent.RemovalEffective -> ownerGone(event.incarnation)
+            is ReleaseEvent.StateRead -> Unit
+            is ReleaseEvent.OrderAnswered -> Unit
+            is ReleaseEvent.Tick -> claims.tick(event.wallMillis, now)
+        }
+    }
+
+    private fun recordApplied(event: ReleaseEvent.RecordApplied) {
+        if (event.offset <= applied) return
+        applied = event.offset
+        when (val record = event.record) {
+            is LogRecord.Note -> noteApplied(record)
+
+            is LogRecord.KeyWithdrawn -> {
+                outbox.confirm(record)
+                state.withdraw(record.hash)
+                revoke(record.hash)
+            }
+
+            is LogRecord.Claims -> claims.claimed(record.claims, now)
+
+            is LogRecord.ClaimOutcome -> claims.settled(record, now)
+
+            is LogRecord.ClaimAbandoned -> claims.abandoned(record.claim, now)
+
+            is LogRecord.HostLeft -> ownerGone(record.incarnation)
+
+            is LogRecord.OrderLease,
+            is LogRecord.OrderDone,
+            is LogRecord.SnapshotChunk,
+            is LogRecord.HostJoined,
+            is LogRecord.HostRemoved,
+            is LogRecord.SlotsAssigned,
+            is LogRecord.SlotsReleased,
+            -> Unit
+        }
+    }
+
+    private fun noteApplied(record: LogRecord.Note) {
+        val before = release.number
+        out += state.apply(record.note)
+        if (release.number == before) return
+        out += ReleaseEffect.ReleaseChanged(release)
+        record.note.changes.filterIsInstance<Change.WithdrawKey>().forEach { revoke(it.hash) }
+    }
+
+    private fun restored(event: ReleaseEvent.Restored) {
+        if (event.covered <= applied) return
+        applied = event.covered
+        state.restore(event.state)
+        table.restore(event.state, now)
+        out += ReleaseEffect.ReleaseChanged(release)
+        event.state.withdrawnKeys.forEach { revoke(it) }
+        claims.reconsider(now)
+    }
+
+    private fun withdrawalHeard(hash: KeyHash) {
+        if (hash in withdrawn) return
+        revoke(hash)
+        outbox.add(LogRecord.KeyWithdrawn(hash), now + times.withdrawalSpread * random.nextDouble())
+    }
+
+    private fun revoke(hash: KeyHash) {
+        if (withdrawn.add(hash)) out += ReleaseEffect.KeyRevoked(hash)
+    }
+
+    private fun tailReached() {
+        outbox.tailReached(now)
+        claims.logRead()
+    }
+
+    private fun appendFailed(event: ReleaseEvent.AppendFailed) {
+        outbox.failed(event.records, event.mayHaveHappened, now)
+        if (event.mayHaveHappened) claims.logFailed(now)
+    }
+
+    private fun membersChanged(event: ReleaseEvent.MembersChanged) {
+        members = event.members
+        claims.reconsider(now)
+    }
+
+    private fun ownerGone(incarnation: Incarnation) {
+        removed += incarnation
+        claims.reconsider(now)
+    }
+
+    private fun isGone(incarnation: Incarnation): Boolean =
+        incarnation in removed || (members.isNotEmpty() && members.none { it.incarnation == incarnation })
+
+    private fun flush() {
+        val gatherer = if (gatherClaims) gatherer() else null
+        val batch = outbox.flush(now, gather = gatherer != null && gatherer.incarnation != self)
+        if (batch.records.isNotEmpty()) out += ReleaseEffect.Append(batch.records)
+        if (gatherer != null && batch.gathered.isNotEmpty()) {
+            out += ReleaseEffect.Send(gatherer, PeerMessage.ClaimBatch(batch.gathered))
+        }
+    }
+
+    private fun gatherer(): Member? =
+        RendezvousHash.first("claims", members.filter { it.dataCentre == dataCentre }) { it.incarnation.value }
+
+    private companion object {
+        /** Clocks of two hosts drift apart by at most 1%. */
+        const val CLOCK_DRIFT = 1.01
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/WithdrawnKeys.kt
@@ -0,0 +1,13 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.KeyHash
+
+/** Withdrawals heard from the log, peers and operators; the set only grows. */
+internal class WithdrawnKeys {
+    private val hashes = mutableSetOf<KeyHash>()
+
+    operator fun contains(hash: KeyHash): Boolean = hash in hashes
+
+    /** Adds [hash]; false when it is in the set already. */
+    fun add(hash: KeyHash): Boolean = hashes.add(hash)
+}
--- /dev/null
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/ReleaseRulesSpec.kt
@@ -0,0 +1,76 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.NoteId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.id.RouteId
+import io.anvilvalve.api.log.KeptReply
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.Key
+import io.anvilvalve.api.release.Organisation
+import io.anvilvalve.api.release.ReleaseNote
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards the paths that every integration uses: a note, a withdrawn key, a claim that wins and its replay. */
+class ReleaseRulesSpec :
+    FunSpec({
+        val organisation = OrganisationId("acme")
+        val hash = KeyHash.of("secret")
+        val put = ReleaseNote(
+            NoteId("n1"),
+            ReleaseNumber(0),
+            "operator",
+            listOf(
+                Change.PutOrganisation(Organisation(organisation, 100, 10_000)),
+                Change.PutKey(Key(hash, organisation)),
+            ),
+        )
+
+        fun rules() = ReleaseRules(Incarnation("a#1"), DataCentreId("dc1"))
+
+        fun ReleaseRules.apply(offset: Long, record: LogRecord) =
+            reduce(ReleaseEvent.RecordApplied(LogOffset(offset), record), Duration.ZERO)
+
+        test("a note is in force once, and its doubled append changes nothing") {
+            val rules = rules()
+            rules.apply(0, LogRecord.Note(put)) shouldBe listOf(ReleaseEffect.ReleaseChanged(rules.release))
+            rules.apply(1, LogRecord.Note(put)).shouldBeEmpty()
+            rules.release.number shouldBe ReleaseNumber(1)
+            rules.organisationOf(hash) shouldBe organisation
+        }
+
+        test("a withdrawn key stays withdrawn when a later note puts it again") {
+            val rules = rules()
+            rules.apply(0, LogRecord.Note(put))
+            rules.apply(1, LogRecord.KeyWithdrawn(hash)) shouldBe listOf(ReleaseEffect.KeyRevoked(hash))
+            val again = Change.PutKey(Key(hash, organisation))
+            rules.apply(2, LogRecord.Note(ReleaseNote(NoteId("n2"), ReleaseNumber(1), "operator", listOf(again))))
+            rules.release.number shouldBe ReleaseNumber(2)
+            rules.organisationOf(hash) shouldBe null
+        }
+
+        test("a claim runs after it was read back, and a repeat gets the kept reply") {
+            val rules = rules()
+            val request = ClaimRequest(organisation, RouteId("pickup"), "key-1", "digest")
+            rules.reduce(ReleaseEvent.Tick(wallMillis = 1), Duration.ZERO)
+            val append = rules.reduce(ReleaseEvent.ClaimRequested(RequestId("r1"), request), 1.seconds)
+                .filterIsInstance<ReleaseEffect.Append>().single()
+            rules.apply(0, append.records.single()) shouldBe listOf(ReleaseEffect.ClaimWon(RequestId("r1")))
+            val reply = KeptReply(200, "text/plain", byteArrayOf(1))
+            val outcome = rules.reduce(ReleaseEvent.ClaimReplied(RequestId("r1"), reply), 2.seconds)
+                .filterIsInstance<ReleaseEffect.Append>().single()
+            rules.apply(1, outcome.records.single())
+            rules.reduce(ReleaseEvent.ClaimRequested(RequestId("r2"), request), 3.seconds) shouldBe
+                listOf(ReleaseEffect.ClaimReplayed(RequestId("r2"), reply))
+        }
+    })
