Add stand-ins for engine, log service, live list and plain service

Change: four stand-ins behind the ports of the api module, with injectable faults, and HTTP servers on loopback that speak the published protocols. anvilvalve-standin serves any one of them as a process.

--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/AttemptEnd.kt
@@ -0,0 +1,7 @@
+package io.anvilvalve.standins
+
+/** Why an attempt ended before its work was done. */
+internal enum class AttemptEnd {
+    CANCELLED,
+    KILLED,
+}
--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/EngineAddress.kt
@@ -0,0 +1,4 @@
+package io.anvilvalve.standins
+
+/** IP number and port of an engine. */
+data class EngineAddress(val host: String, val port: Int)
--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/FakeEngine.kt
@@ -0,0 +1,292 @@
+package io.anvilvalve.standins
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.port.CacheEvent
+import io.anvilvalve.api.port.EngineOrder
+import io.anvilvalve.api.port.EngineRequest
+import io.anvilvalve.api.port.EngineTarget
+import io.anvilvalve.api.port.KvHandle
+import io.anvilvalve.api.port.LoadReport
+import io.anvilvalve.api.port.TokenChunk
+import io.anvilvalve.api.release.Role
+import io.anvilvalve.api.result.Executed
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * An engine that batches requests continuously in slots and KV memory and answers with [AnswerText].
+ *
+ * It has no threads or jobs of its own: time passes in the callers' coroutines. It is safe for use by many threads.
+ */
+class FakeEngine(
+    val name: String,
+    val config: EngineConfig = EngineConfig(),
+    private val network: KvNetwork = LocalKvNetwork(),
+    timeSource: TimeSource = TimeSource.Monotonic,
+) {
+    /** Faults to inject. */
+    val faults = EngineFaults()
+
+    /** Address that prefill results name for their transfer. */
+    @Volatile
+    var address: EngineAddress = EngineAddress("127.0.0.1", 0)
+
+    /** Whether load reports say that the engine takes no new work; it is still accepted. */
+    @Volatile
+    var leaving: Boolean = false
+
+    @Volatile
+    private var dead = false
+    private val start = timeSource.markNow()
+    private val usage = UsageHistory(config.loadInterval)
+    private val memory = EngineMemory(config) { usage.record(now(), it) }
+    private val cancels = CancelMemory()
+    private val cache = PrefixCache(config.cachePieces, config.cacheEventLag, faults.lostCacheEvents::take)
+    private val link = SharedLink(config.linkBytesPerSecond)
+    private val orders = OrderBook(
+        EngineTarget(config.role, config.models),
+        config.checksFencing,
+        config.orderTime,
+    )
+
+    init {
+        if (network is LocalKvNetwork) network.register(this)
+    }
+
+    /** Most requests that were decoded at once. */
+    val peakSlots: Int get() = memory.peakSlots
+
+    /** Most KV pieces that were in use at once. */
+    val peakPieces: Int get() = memory.peakPieces
+
+    /** Computes the prompt and keeps the result for its transfer. */
+    suspend fun prefill(request: EngineRequest): Either<BackendFault, KvHandle> {
+        refusal(request, Role.PREFILL)?.let { return it.left() }
+        val pieces = PromptTokens.pieces(request.promptTokens + request.resumeFrom)
+        val attempt = enter(request, prefill = true, pieces) ?: return QUEUE_FULL.left()
+        var exported = false
+        try {
+            if (!awaitAdmission(attempt)) return ended(attempt).left()
+            computePrompt(attempt, request)
+            exported = memory.export(attempt, now() + config.kvLifetime)
+        } finally {
+            if (!exported) memory.release(attempt)
+        }
+        if (!exported) return ended(attempt).left()
+        if (faults.lostPrefillAnswers.take()) return CONNECTION_CLOSED.left()
+        return handle(request, pieces).right()
+    }
+
+    /** Imports [kv], or computes the prompt when it is null, and streams the tokens. */
+    fun decode(request: EngineRequest, kv: KvHandle?): Flow<Either<BackendFault, TokenChunk>> = flow {
+        val refusal = refusal(request, Role.DECODE)
+        val pieces = PromptTokens.pieces(request.promptTokens + request.maxTokens)
+        val attempt = if (refusal == null) enter(request, prefill = false, pieces) else null
+        if (attempt == null) {
+            emit((refusal ?: QUEUE_FULL).left())
+            return@flow
+        }
+        try {
+            val fault = if (awaitAdmission(attempt)) preparePrompt(attempt, request, kv) else ended(attempt)
+            if (fault == null) stream(attempt, request) else emit(fault.left())
+        } finally {
+            memory.release(attempt)
+        }
+    }
+
+    /** Frees all memory of the attempt [engineId] and refuses it when it arrives later. */
+    fun cancel(engineId: String): Either<BackendFault, Unit> {
+        if (dead) return CONNECTION_REFUSED.left()
+        cancels.add(engineId)
+        memory.end(engineId, AttemptEnd.CANCELLED)
+        return if (faults.lostCancelAnswers.take()) CONNECTION_CLOSED.left() else Unit.right()
+    }
+
+    /** Returns the last load report, written up to [EngineConfig.loadInterval] ago. */
+    fun load(): Either<BackendFault, LoadReport> = alive {
+        memory.expire(now())
+        val at = now()
+        val sequence = (at / config.loadInterval).toLong()
+        val writtenAt = config.loadInterval * sequence.toDouble()
+        val then = usage.at(writtenAt)
+        LoadReport(
+            sequence = sequence,
+            running = then.running,
+            waiting = then.waiting,
+            kvPiecesFree = config.kvPieces - then.pieces,
+            kvPiecesTotal = config.kvPieces,
+            models = orders.state(at).models.keys.toList(),
+            leaving = leaving,
+            ageMillis = (at - writtenAt).inWholeMilliseconds,
+        )
+    }
+
+    /** Returns cache events after sequence number [after]. */
+    fun cacheEvents(after: Long): Either<BackendFault, List<CacheEvent>> = alive { cache.events(after, now()) }
+
+    /** Takes an order; status 409 means that its fencing number is old. */
+    fun order(order: EngineOrder): Either<BackendFault, Unit> {
+        if (dead) return CONNECTION_REFUSED.left()
+        if (!orders.take(order, now())) return STALE_FENCING.left()
+        return if (faults.lostOrderAnswers.take()) CONNECTION_CLOSED.left() else Unit.right()
+    }
+
+    /** Returns the state that the engine has; an order shows after [EngineConfig.orderTime]. */
+    fun state(): Either<BackendFault, EngineTarget> = alive { orders.state(now()) }
+
+    /** Returns the attempts that hold memory. */
+    fun held(): List<String> {
+        memory.expire(now())
+        return memory.held()
+    }
+
+    /** Breaks all streams, loses all memory and refuses connections until [revive]. */
+    fun kill() {
+        dead = true
+        memory.endAll(AttemptEnd.KILLED)
+        cache.clear()
+    }
+
+    /** Accepts connections again after [kill]. */
+    fun revive() {
+        dead = false
+    }
+
+    /** Starts the transfer of a prefill result; returns the time on this engine's link, or null when it is gone. */
+    internal fun beginExport(engineId: String): Duration? {
+        memory.expire(now())
+        val attempt = memory.extend(engineId, now() + config.transferLimit) ?: return null
+        return link.book(bytes(attempt.pieces), now())
+    }
+
+    /** Ends the transfer of a prefill result and frees it; false when it was freed before. */
+    internal fun endExport(engineId: String): Boolean {
+        memory.expire(now())
+        return memory.releaseExport(engineId)
+    }
+
+    private fun now(): Duration = start.elapsedNow()
+
+    private fun <T> alive(answer: () -> T): Either<BackendFault, T> =
+        if (dead) CONNECTION_REFUSED.left() else answer().right()
+
+    private fun refusal(request: EngineRequest, role: Role): BackendFault? {
+        val state = orders.state(now())
+        return when {
+            dead -> CONNECTION_REFUSED
+            faults.refusesAll || faults.refusals.take() -> REFUSED
+            request.engineId in cancels -> CANCELLED_BEFORE
+            state.role != role -> WRONG_ROLE
+            request.model !in state.models -> UNKNOWN_MODEL
+            request.resumeFrom !in 0 until request.maxTokens -> BAD_RANGE
+            PromptTokens.pieces(request.promptTokens + request.maxTokens) > config.kvPieces -> TOO_LARGE
+            else -> null
+        }
+    }
+
+    private fun enter(request: EngineRequest, prefill: Boolean, pieces: Int): Attempt? {
+        memory.expire(now())
+        val attempt = memory.enter(request.engineId, prefill, pieces, request.priority)
+        // A cancel between the check of the request and its entry would otherwise be missed.
+        if (attempt != null && request.engineId in cancels) memory.end(attempt.id, AttemptEnd.CANCELLED)
+        return attempt
+    }
+
+    private suspend fun awaitAdmission(attempt: Attempt): Boolean {
+        while (!attempt.admitted.isCompleted) {
+            val expiry = memory.nextExpiry()?.let { it - now() } ?: config.kvLifetime
+            withTimeoutOrNull(minOf(expiry, config.kvLifetime)) { attempt.admitted.await() }
+            memory.expire(now())
+        }
+        return attempt.admitted.await()
+    }
+
+    private suspend fun preparePrompt(attempt: Attempt, request: EngineRequest, kv: KvHandle?): BackendFault? {
+        if (kv == null) {
+            computePrompt(attempt, request)
+        } else if (!import(attempt, kv)) {
+            return KV_GONE
+        }
+        return if (attempt.end == null) null else ended(attempt)
+    }
+
+    private suspend fun computePrompt(attempt: Attempt, request: EngineRequest) {
+        val hashes = PromptTokens.prefixHashes(request.prompt)
+        val cached = cache.match(hashes) * PromptTokens.TOKENS_PER_PIECE
+        val tokens = maxOf(1, request.promptTokens + request.resumeFrom - cached)
+        attempt.pause((tokens / config.prefillTokensPerSecond).seconds)
+        if (attempt.end == null) cache.store(hashes, now())
+    }
+
+    private suspend fun import(attempt: Attempt, kv: KvHandle): Boolean {
+        val sending = network.begin(kv) ?: return false
+        val receiving = link.book(bytes(kv.pieces), now())
+        attempt.pause(maxOf(sending, receiving))
+        if (faults.stalledTransfers.take()) attempt.ended.await()
+        return network.end(kv) || attempt.end != null
+    }
+
+    private suspend fun FlowCollector<Either<BackendFault, TokenChunk>>.stream(
+        attempt: Attempt,
+        request: EngineRequest,
+    ) {
+        val pace = TokenPace { tokenTime() }
+        val breakAt = if (faults.brokenStreams.take()) request.resumeFrom + faults.breakAfterTokens else Int.MAX_VALUE
+        val delivery = ChunkDelivery(faults)
+        for (chunk in chunks(request)) {
+            pace.awaitNext(now())
+            if (attempt.end == AttemptEnd.CANCELLED) return emit(CANCELLED.left())
+            if (attempt.end == AttemptEnd.KILLED || chunk.index >= breakAt) return
+            for (delivered in delivery.next(chunk)) emit(delivered.right())
+        }
+    }
+
+    private fun chunks(request: EngineRequest): Sequence<TokenChunk> {
+        val seed = AnswerText.seed(request.model, request.prompt)
+        val stops = config.stopAfter != null && config.stopAfter < request.maxTokens
+        val end = if (stops) maxOf(config.stopAfter, request.resumeFrom + 1) else request.maxTokens
+        val reason = if (stops) "stop" else "length"
+        return (request.resumeFrom until end).asSequence().map { index ->
+            TokenChunk(index, AnswerText.token(seed, index), reason.takeIf { index == end - 1 })
+        }
+    }
+
+    private fun tokenTime(): Duration = config.tokenTime + config.tokenTimePerRequest * usage.latest.running
+
+    private fun handle(request: EngineRequest, pieces: Int) = KvHandle(
+        engineId = name,
+        requestId = request.engineId,
+        host = address.host,
+        port = address.port,
+        pieces = pieces,
+        expiresMillis = config.kvLifetime.inWholeMilliseconds,
+    )
+
+    private fun bytes(pieces: Int): Long = pieces * PromptTokens.TOKENS_PER_PIECE * config.kvBytesPerToken
+
+    private fun ended(attempt: Attempt): BackendFault =
+        if (attempt.end == AttemptEnd.KILLED) CONNECTION_CLOSED else CANCELLED
+
+    private companion object {
+        val CONNECTION_REFUSED = BackendFault(Executed.NO, "connection refused")
+        val CONNECTION_CLOSED = BackendFault(Executed.UNKNOWN, "connection closed")
+        val REFUSED = BackendFault(Executed.NO, "the engine takes no work", status = 503)
+        val QUEUE_FULL = BackendFault(Executed.NO, "the queue is full or the attempt is known", status = 429)
+        val CANCELLED_BEFORE = BackendFault(Executed.NO, "the attempt was cancelled before it came", status = 499)
+        val CANCELLED = BackendFault(Executed.UNKNOWN, "the attempt was cancelled", status = 499)
+        val WRONG_ROLE = BackendFault(Executed.NO, "the engine has another role", status = 409)
+        val UNKNOWN_MODEL = BackendFault(Executed.NO, "the model is not loaded", status = 404)
+        val BAD_RANGE = BackendFault(Executed.NO, "resume_from is not below max_tokens", status = 400)
+        val TOO_LARGE = BackendFault(Executed.NO, "the request exceeds the KV memory", status = 400)
+        val KV_GONE = BackendFault(Executed.NO, "the prefill result is gone", status = 410)
+        val STALE_FENCING = BackendFault(Executed.NO, "the fencing number is old", status = 409)
+    }
+}
--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/FaultCounter.kt
@@ -0,0 +1,14 @@
+package io.anvilvalve.standins
+
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Number of times that an injected fault still happens. */
+class FaultCounter {
+    private val left = AtomicInteger()
+
+    /** Lets the fault happen for the next [count] occasions; 0 ends it. */
+    fun next(count: Int = 1) = left.set(count)
+
+    /** Uses one occasion up; false when there are none. */
+    internal fun take(): Boolean = left.getAndUpdate { if (it > 0) it - 1 else 0 } > 0
+}
--- a/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/Main.kt
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/Main.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.standins
 
+import com.github.ajalt.clikt.core.main
+import io.anvilvalve.standins.command.standinCommand
+
 /** Starts the program. */
-fun main(args: Array<String>) {
-    require(args.isEmpty()) { "no arguments are known yet" }
-}
+fun main(args: Array<String>) = standinCommand().main(args)
--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/PrefixCache.kt
@@ -0,0 +1,61 @@
+package io.anvilvalve.standins
+
+import io.anvilvalve.api.port.CacheEvent
+import kotlin.time.Duration
+
+/** Prefix cache that drops the least recently used piece, and the events about it. */
+internal class PrefixCache(
+    private val capacity: Int,
+    private val eventLag: Duration,
+    private val loseEvent: () -> Boolean,
+) {
+    private class Published(val event: CacheEvent, val at: Duration)
+
+    private val pieces = LinkedHashSet<Long>()
+    private val events = ArrayDeque<Published>()
+    private var sequence = 0L
+
+    /** Returns how many leading pieces of [hashes] are cached. */
+    @Synchronized
+    fun match(hashes: List<Long>): Int = hashes.takeWhile { it in pieces }.size
+
+    /** Stores [hashes], and marks them as used. */
+    @Synchronized
+    fun store(hashes: List<Long>, now: Duration) {
+        for (hash in hashes.take(capacity)) {
+            val known = pieces.remove(hash)
+            pieces.add(hash)
+            if (!known) publish(stored = true, hash, now)
+            if (pieces.size > capacity) evictOldest(now)
+        }
+    }
+
+    /** Forgets all pieces and events, as a restart does. */
+    @Synchronized
+    fun clear() {
+        pieces.clear()
+        events.clear()
+    }
+
+    /** Returns the events after sequence number [after] that can be read at [now]. */
+    @Synchronized
+    fun events(after: Long, now: Duration): List<CacheEvent> =
+        events.filter { it.event.sequence > after && it.at + eventLag <= now }.map { it.event }
+
+    private fun evictOldest(now: Duration) {
+        val oldest = pieces.first()
+        pieces.remove(oldest)
+        publish(stored = false, oldest, now)
+    }
+
+    private fun publish(stored: Boolean, hash: Long, now: Duration) {
+        val event = CacheEvent(++sequence, stored, hash)
+        if (loseEvent()) return
+        events.addLast(Published(event, now))
+        if (events.size > KEPT_EVENTS) events.removeFirst()
+    }
+
+    private companion object {
+        const val KEPT_EVENTS = 1_024
+    }
+}
--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/EngineMessages.kt
@@ -0,0 +1,65 @@
+package io.anvilvalve.standins.http
+
+import io.anvilvalve.api.id.AdapterId
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.port.CacheEvent
+import io.anvilvalve.api.port.EngineRequest
+import io.anvilvalve.api.port.KvHandle
+import io.anvilvalve.standins.PromptTokens
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+
+@Serializable
+internal class CompletionRequest(
+    val model: String,
+    val prompt: String,
+    @SerialName("max_tokens") val maxTokens: Int = 16,
+    val stream: Boolean = false,
+    val priority: Int = 0,
+    val adapter: String? = null,
+    @SerialName("resume_from") val resumeFrom: Int = 0,
+    @SerialName("prompt_tokens") val promptTokens: Int? = null,
+    @SerialName("kv_transfer_params") val transfer: JsonObject? = null,
+) {
+    /** Whether only the prompt is to be computed, for another engine. */
+    val isPrefill: Boolean get() = flag("do_remote_decode")
+
+    /** Where the prompt was computed, or null when this engine computes it. */
+    fun handle(): KvHandle? = if (flag("do_remote_prefill")) {
+        wireJson.decodeFromJsonElement(KvHandle.serializer(), checkNotNull(transfer))
+    } else {
+        null
+    }
+
+    fun toEngineRequest(engineId: String) = EngineRequest(
+        id = RequestId(engineId.substringBeforeLast('.')),
+        attempt = engineId.substringAfterLast('.').toInt(),
+        model = ModelId(model),
+        prompt = prompt,
+        promptTokens = promptTokens ?: PromptTokens.count(prompt),
+        // A prefill asks for one token; resumed ones are part of its prompt.
+        maxTokens = if (isPrefill) maxOf(maxTokens, resumeFrom + 1) else maxTokens,
+        priority = priority,
+        adapter = adapter?.let(::AdapterId),
+        resumeFrom = resumeFrom,
+    )
+
+    private fun flag(name: String): Boolean = (transfer?.get(name) as? JsonPrimitive)?.booleanOrNull ?: false
+}
+
+@Serializable
+internal class CacheEventsResponse(val events: List<CacheEvent>)
+
+@Serializable
+internal class HeldResponse(val held: List<String>)
+
+@Serializable
+internal class TransferResponse(@SerialName("link_micros") val linkMicros: Long)
+
+/** Returns the identity of an attempt in the form `request.attempt`; attempt 0 when [header] names none. */
+internal fun engineId(header: String): String =
+    if (header.substringAfterLast('.', "").toIntOrNull() == null) "$header.0" else header
--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/JsonAnswers.kt
@@ -0,0 +1,45 @@
+package io.anvilvalve.standins.http
+
+import io.anvilvalve.api.port.BackendFault
+import io.javalin.http.Context
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+
+internal val wireJson = Json {
+    ignoreUnknownKeys = true
+    encodeDefaults = true
+}
+
+internal fun <T> Context.answerJson(serializer: KSerializer<T>, value: T) = answerJson(
+    HTTP_OK,
+    wireJson.encodeToString(serializer, value),
+)
+
+internal fun Context.answerJson(status: Int, text: String) {
+    status(status)
+    contentType("application/json")
+    result(text)
+}
+
+/** Answers with the status of [fault], or closes the connection when it has none. */
+internal fun Context.answerFault(fault: BackendFault) {
+    val status = fault.status
+    if (status == null) CallerConnection.of(this).abort() else answerJson(status, errorJson(fault))
+}
+
+internal fun errorJson(fault: BackendFault): String = buildJsonObject {
+    putJsonObject("error") {
+        put("code", "refused")
+        put("message", fault.reason)
+        put("executed", fault.executed.name.lowercase())
+    }
+}.toString()
+
+internal const val HTTP_OK = 200
+internal const val HTTP_BAD_REQUEST = 400
+internal const val HTTP_NOT_FOUND = 404
+internal const val HTTP_TOO_MANY = 429
+internal const val HTTP_UNAVAILABLE = 503
--- /dev/null
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/LiveListServer.kt
@@ -0,0 +1,42 @@
+package io.anvilvalve.standins.http
+
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.port.LiveHost
+import io.anvilvalve.api.result.Executed
+import io.anvilvalve.standins.FakeLiveHostList
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Serves [list] by the protocol of the platform's live list until the returned server is closed. */
+fun serveLiveList(list: FakeLiveHostList, port: Int = 0): StandinServer = StandinServer(port) { server ->
+    get("/v1/hosts") {
+        server.answer(it) { ctx ->
+            list.hosts().fold(
+                { reason -> ctx.answerFault(BackendFault(Executed.NO, reason, HTTP_UNAVAILABLE)) },
+                { hosts -> ctx.answerJson(HostsResponse.serializer(), HostsResponse(hosts.map(::toLine))) },
+            )
+        }
+    }
+}
+
+private fun toLine(host: LiveHost) = HostLine(
+    id = host.id.value,
+    address = host.address,
+    peerPort = host.peerPort,
+    dataCentre = host.dataCentre.value,
+    region = host.region.value,
+    state = if (host.leaving) "leaving" else "live",
+)
+
+@Serializable
+private class HostsResponse(val hosts: List<HostLine>)
+
+@Serializable
+private class HostLine(
+    val id: String,
+    val address: String,
+    @SerialName("peer_port") val peerPort: Int,
+    @SerialName("data_centre") val dataCentre: String,
+    val region: String,
+    val state: String,
+)
