--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/BackupChoice.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/BackupChoice.kt
@@ -11,7 +11,6 @@
         val region = others.filter { it.region == self.region }
         val candidates = listOf(region.filter { it.dataCentre != self.dataCentre }, region, others)
             .firstOrNull { it.isNotEmpty() } ?: return null
-        val chosen = RendezvousHash.choose("backup-${self.host}", candidates.map { it.host.value })
-        return candidates.firstOrNull { it.host.value == chosen }
+        return RendezvousHash.first("backup-${self.host}", candidates) { it.host.value }
     }
 }
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
@@ -34,7 +34,7 @@
     private val out = Outbox()
 
     private val fleet = FleetRules(self = self, seed = config.seed, slots = config.limitSlots)
-    private val releases = ReleaseRules(self = self.incarnation, seed = config.seed)
+    private val releases = ReleaseRules(self = self.incarnation, dataCentre = self.dataCentre, seed = config.seed)
 
     private val follower = LogFollower(out, Random(config.seed), FollowerSink())
     private val catchUp = PeerCatchUp(follower, ::send)
