Add the fleet rules: membership, freshness evidence and token limits

FleetRules joins by log records, counts log reads and replies of a majority as evidence, takes and releases limit slots, refills the shares of its slots, and charges requests from own shares and from grants of other slot owners.

--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/Admissions.kt
@@ -0,0 +1,168 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.id.TransferId
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.result.ResultCode
+import kotlin.time.Duration
+
+/** Charges requests, in order of arrival per organisation, and settles them when they end. */
+internal class Admissions(
+    private val self: Incarnation,
+    private val shares: OwnedShares,
+    private val slots: SlotTable,
+    private val view: Membership,
+    private val times: FleetTimes,
+    private val out: Outbox,
+) {
+    private val waiting = LinkedHashMap<OrganisationId, ArrayDeque<FleetEvent.Admit>>()
+    private val tokens = HashMap<OrganisationId, OrganisationTokens>()
+    private val charged = HashMap<RequestId, List<Charge>>()
+    private var transfers = 0L
+
+    /** Whether an admitted request has not been settled. */
+    val hasUnsettled: Boolean get() = charged.isNotEmpty()
+
+    /** Answers [request] or lets it wait for tokens; [clock] counts only time in which the host was current. */
+    fun admit(request: FleetEvent.Admit, clock: Duration, now: Duration) {
+        val layout = shares.layout(request.organisation)
+        when {
+            layout == null -> refuse(request, ResultCode.NOT_READY)
+
+            request.tokens > layout.limit.capMicros / ShareLayout.MICROS * layout.count ->
+                refuse(request, ResultCode.PROMPT_TOO_LONG)
+
+            else -> {
+                waiting.getOrPut(request.organisation) { ArrayDeque() }.addLast(request)
+                serve(request.organisation, clock, now)
+            }
+        }
+    }
+
+    fun granted(grant: PeerMessage.TokenGrant, clock: Duration, now: Duration) {
+        val late = tokens[grant.organisation]?.granted(grant, now)
+        if (late != null) giveBack(late, late.remaining)
+        serve(grant.organisation, clock, now)
+    }
+
+    /** Gives the unused tokens of a request back to the balances that they came from. */
+    fun settle(id: RequestId, used: Long, now: Duration) {
+        val charges = charged.remove(id) ?: return
+        var unused = (charges.sumOf { it.amount } - used).coerceAtLeast(0)
+        for (charge in charges.asReversed()) {
+            val amount = minOf(unused, charge.amount)
+            if (amount == 0L) return
+            unused -= amount
+            when (charge) {
+                is Charge.FromShare -> charge.share.refund(amount, charge.position)
+                is Charge.FromLot -> returnToLot(charge.lot, amount, now)
+            }
+        }
+    }
+
+    /** Refuses what has waited long enough, drops old tokens and asks again. */
+    fun advance(clock: Duration, now: Duration) {
+        tokens.values.forEach { balance -> balance.expire(now).forEach { giveBack(it, it.remaining) } }
+        waiting.keys.toList().forEach { organisation ->
+            serve(organisation, clock, now)
+            refuseLate(organisation, now)
+        }
+        waiting.values.removeIf { it.isEmpty() }
+    }
+
+    fun refuseAll(code: ResultCode) {
+        waiting.values.forEach { queue -> queue.forEach { refuse(it, code) } }
+        waiting.clear()
+    }
+
+    private fun serve(organisation: OrganisationId, clock: Duration, now: Duration) {
+        val queue = waiting[organisation] ?: return
+        val layout = shares.layout(organisation)
+        if (layout == null) {
+            queue.forEach { refuse(it, ResultCode.NOT_READY) }
+            queue.clear()
+            return
+        }
+        val balance = tokens.getOrPut(organisation) { OrganisationTokens(times) }
+        balance.expire(now).forEach { giveBack(it, it.remaining) }
+        val own = shares.of(layout, clock, now)
+        while (queue.isNotEmpty() && queue.first().tokens <= balance.available() + own.sumOf { it.second.tokens }) {
+            charge(queue.removeFirst(), balance, own)
+        }
+        if (queue.isNotEmpty()) ask(layout, queue.sumOf { it.tokens }, balance, own, now)
+    }
+
+    private fun charge(request: FleetEvent.Admit, balance: OrganisationTokens, own: List<Pair<ShareKey, OwnedShare>>) {
+        val charges = balance.take(request.tokens).toMutableList()
+        var missing = request.tokens - charges.sumOf { it.amount }
+        for ((_, share) in own) {
+            if (missing == 0L) break
+            val amount = share.spend(missing)
+            missing -= amount
+            if (amount > 0) charges += Charge.FromShare(amount, share, share.position)
+        }
+        check(missing == 0L) { "balance changed while charging" }
+        charged[request.id] = charges
+        out.add(FleetEffect.Admitted(request.id))
+    }
+
+    private fun ask(
+        layout: ShareLayout,
+        wanted: Long,
+        balance: OrganisationTokens,
+        own: List<Pair<ShareKey, OwnedShare>>,
+        now: Duration,
+    ) {
+        var missing = wanted - balance.available() - balance.expected(now) - own.sumOf { it.second.tokens }
+        val first = transfers.mod(layout.count)
+        for (step in 0 until layout.count) {
+            if (missing <= 0) return
+            val key = ShareKey(layout.organisation.id, (first + step) % layout.count)
+            val owner = slots.owner(layout.slots[key.share])?.let(view::member)
+            if (owner == null || owner.incarnation == self || !balance.mayAsk(key, now)) continue
+            val amount = minOf(missing, layout.limit.capMicros / ShareLayout.MICROS)
+            missing -= amount
+            request(owner, key, amount, balance, now)
+        }
+    }
+
+    private fun request(owner: Member, key: ShareKey, amount: Long, balance: OrganisationTokens, now: Duration) {
+        val id = TransferId("${self.value}:${transfers++}")
+        balance.asked(id, key, owner.incarnation, amount, now)
+        out.add(FleetEffect.Send(owner, PeerMessage.TokenRequest(id, key.organisation, key.share, amount)))
+    }
+
+    private fun returnToLot(lot: TokenLot, amount: Long, now: Duration) {
+        val balance = tokens[lot.organisation]
+        if (now <= lot.expires && balance != null) balance.putBack(lot, amount) else giveBack(lot, amount)
+    }
+
+    private fun giveBack(lot: TokenLot, amount: Long) {
+        val owner = view.member(lot.owner)
+        if (owner != null && amount > 0) out.add(FleetEffect.Send(owner, lot.giveBack(amount)))
+    }
+
+    private fun refuseLate(organisation: OrganisationId, now: Duration) {
+        val queue = waiting[organisation] ?: return
+        val late = queue.filter { now + times.tick >= it.deadline }
+        if (late.isEmpty()) return
+        queue.removeAll(late.toSet())
+        val code =
+            if (tokens[organisation]?.ownersEmpty != false) ResultCode.RATE_EXCEEDED else ResultCode.TOKENS_UNAVAILABLE
+        late.forEach { refuse(it, code) }
+    }
+
+    private fun refuse(request: FleetEvent.Admit, code: ResultCode) {
+        val rate = shares.layout(request.organisation)?.organisation?.rate ?: 0
+        val wait = if (rate > 0) request.tokens * MILLIS / rate else MILLIS
+        out.add(FleetEffect.Refused(request.id, code, wait.coerceIn(RETRY_MILLIS)))
+    }
+
+    private companion object {
+        const val MILLIS = 1_000L
+        val RETRY_MILLIS = 100L..60_000L
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/Evidence.kt
@@ -0,0 +1,74 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import kotlin.time.Duration
+
+/** Evidence that the host knows the state in the log: its own log reads and replies to its probes. */
+internal class Evidence(private val self: Incarnation, private val times: FleetTimes, private val view: Membership) {
+    private val probeSentAt = LinkedHashMap<Long, Duration>()
+    private val repliedProbe = HashMap<Incarnation, Duration>()
+    private var lastRead: Duration? = null
+    private var newestReported = LogOffset(-1)
+
+    /** Whether the last call to the log succeeded. */
+    var logReadable: Boolean = false
+        private set
+
+    /** Whether this host has read the log to its end at least once. */
+    val hasReadLog: Boolean get() = lastRead != null
+
+    fun tailReached(sentAt: Duration) {
+        logReadable = true
+        if (lastRead.let { it == null || it < sentAt }) lastRead = sentAt
+    }
+
+    fun logFailed() {
+        logReadable = false
+    }
+
+    fun probeSent(id: Long, now: Duration) {
+        probeSentAt[id] = now
+        probeSentAt.values.removeIf { now - it > times.freshness }
+    }
+
+    /** A peer's [membership]; while it is newer than the own one, replies are no evidence. */
+    fun membershipReported(membership: LogOffset) {
+        if (membership > newestReported) newestReported = membership
+    }
+
+    /** Counts a reply from the time its probe was sent, because a reply may be delayed by any time. */
+    fun replied(from: Incarnation, id: Long) {
+        val sentAt = probeSentAt[id] ?: return
+        val known = repliedProbe[from]
+        if (known == null || known < sentAt) repliedProbe[from] = sentAt
+    }
+
+    fun forget(incarnation: Incarnation) {
+        repliedProbe.remove(incarnation)
+    }
+
+    /** Time at which [incarnation] was last heard, as the sending time of the answered probe. */
+    fun lastHeard(incarnation: Incarnation): Duration? = repliedProbe[incarnation]
+
+    /** Whether more than half of the members answered probes sent within the freshness time. */
+    fun hearsMajority(now: Duration): Boolean = majorityUntil()?.let { it >= now } == true
+
+    /** Last moment at which the evidence collected up to [now] makes the host current; null when it has none. */
+    fun validUntil(now: Duration): Duration? {
+        val read = lastRead
+        if (read == null || self !in view) return null
+        val byRead = read + times.freshness
+        if (byRead >= now || newestReported > view.offset) return byRead
+        val byMajority = majorityUntil()?.let { minOf(it, read + times.outageHold) }
+        return if (byMajority == null) byRead else maxOf(byRead, byMajority)
+    }
+
+    private fun majorityUntil(): Duration? {
+        val needed = view.members.size / 2
+        if (needed == 0) return Duration.INFINITE
+        val heard = view.members.mapNotNull { m -> repliedProbe[m.incarnation].takeIf { m.incarnation != self } }
+        if (heard.size < needed) return null
+        return heard.sortedDescending()[needed - 1] + times.freshness
+    }
+}
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetEvent.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetEvent.kt
@@ -18,7 +18,7 @@
     /** A log read or append failed. */
     data object LogFailed : FleetEvent
 
-    /** A record of the log, in offset order. */
+    /** A record of the log, in offset order; all records are passed so that the applied offset is known. */
     data class RecordApplied(val offset: LogOffset, val record: LogRecord) : FleetEvent
 
     /** Restores membership and slots from a snapshot that covers everything up to [covered]. */
@@ -27,8 +27,12 @@
     /** The organisations of the release in force. */
     data class LimitsChanged(val organisations: Collection<Organisation>) : FleetEvent
 
-    /** An operator's release note states that an incarnation has ended. */
-    data class DeclaredGone(val incarnation: Incarnation) : FleetEvent
+    /**
+     * An operator's release note at [offset] states that an incarnation has ended.
+     *
+     * It follows the `RecordApplied` of the note; a null offset stands for the last applied record.
+     */
+    data class DeclaredGone(val incarnation: Incarnation, val offset: LogOffset? = null) : FleetEvent
 
     /** A message from a peer with the applied offset of its frame. */
     data class PeerReceived(val from: Member, val appliedOffset: LogOffset, val message: PeerMessage) : FleetEvent
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetTimes.kt
@@ -0,0 +1,52 @@
+package io.anvilvalve.rules.fleet
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Times of the fleet rules; the defaults are those of the design page.
+ *
+ * @property freshness V: how long evidence of the state in the log counts.
+ * @property outageHold how long replies of a majority count after the last log read.
+ * @property grantLife D: how long granted tokens may be spent after they were asked for.
+ * @property removalMargin added to [freshness] before a confirmed removal takes effect.
+ * @property suspectAfter silence after which a member is removed by a host that hears a majority.
+ * @property suspectAloneAfter the same for a host that hears no majority.
+ * @property slotPatience how long the planned owner of a free slot is waited for.
+ * @property retakeAfter how long a host leaves a slot alone that it released, so that a late second copy of the release
+ * record cannot take the slot away from it while it refills.
+ * @property refundKeep how long the owner of a share accepts returns of a grant.
+ * @property askTimeout how long tokens that were asked for are counted on.
+ * @property emptyShareRetry how long an owner that had no tokens is not asked again.
+ * @property tick period of `Tick`; requests are refused this much before their deadline.
+ */
+data class FleetTimes(
+    val freshness: Duration = 8.seconds,
+    val outageHold: Duration = 30.minutes,
+    val grantLife: Duration = 2.seconds,
+    val removalMargin: Duration = 500.milliseconds,
+    val probeInterval: Duration = 1.seconds,
+    val wideProbeInterval: Duration = 4.seconds,
+    val suspectAfter: Duration = 10.seconds,
+    val suspectAloneAfter: Duration = 60.seconds,
+    val appendRetry: Duration = 2.seconds,
+    val appendJitter: Duration = 500.milliseconds,
+    val slotPatience: Duration = 5.seconds,
+    val retakeAfter: Duration = 2.minutes,
+    val refundKeep: Duration = 2.minutes,
+    val askTimeout: Duration = 250.milliseconds,
+    val emptyShareRetry: Duration = 100.milliseconds,
+    val tick: Duration = 50.milliseconds,
+) {
+    /** Time by which no host can still act on evidence or tokens of [lifetime], with clocks 1% apart. */
+    internal fun withDrift(lifetime: Duration): Duration = lifetime + lifetime / DRIFT_DIVISOR
+
+    internal val removalWait: Duration get() = withDrift(freshness) + removalMargin
+    internal val unconfirmedRemovalWait: Duration get() = withDrift(outageHold + freshness) + removalMargin
+
+    private companion object {
+        const val DRIFT_DIVISOR = 100
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/OrganisationTokens.kt
@@ -0,0 +1,81 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.TransferId
+import io.anvilvalve.api.peer.PeerMessage
+import kotlin.time.Duration
+
+/** Tokens of one organisation that this host got, or has asked for, from the owners of its shares. */
+internal class OrganisationTokens(private val times: FleetTimes) {
+    /** A request under way; it is counted on for a short time only, and its grant may be spent for longer. */
+    private class Asked(val key: ShareKey, val owner: Incarnation, val amount: Long, val at: Duration)
+
+    private val lots = ArrayDeque<TokenLot>()
+    private val asked = LinkedHashMap<TransferId, Asked>()
+    private val emptyUntil = HashMap<ShareKey, Duration>()
+
+    val isIdle: Boolean get() = lots.isEmpty() && asked.isEmpty()
+
+    /** Whether every owner that was asked lately had nothing to give. */
+    var ownersEmpty: Boolean = false
+        private set
+
+    fun available(): Long = lots.sumOf { it.remaining }
+
+    fun expected(now: Duration): Long = asked.values.filter { now - it.at < times.askTimeout }.sumOf { it.amount }
+
+    fun mayAsk(key: ShareKey, now: Duration): Boolean = now >= (emptyUntil[key] ?: Duration.ZERO) &&
+        asked.values.none { it.key == key && now - it.at < times.askTimeout }
+
+    fun asked(id: TransferId, key: ShareKey, owner: Incarnation, amount: Long, now: Duration) {
+        asked[id] = Asked(key, owner, amount, now)
+    }
+
+    /** Credits a grant once; returns the tokens that came too late to be spent. */
+    fun granted(grant: PeerMessage.TokenGrant, now: Duration): TokenLot? {
+        val request = asked.remove(grant.id) ?: return null
+        ownersEmpty = grant.amount == 0L
+        if (grant.amount < request.amount) emptyUntil[request.key] = now + times.emptyShareRetry
+        if (grant.amount <= 0) return null
+        val lot = TokenLot(grant.id, request.key, request.owner, request.at + times.grantLife, grant.amount)
+        if (now > lot.expires) return lot
+        lots.addLast(lot)
+        return null
+    }
+
+    /** Takes [wanted] tokens or what there is, the oldest first. */
+    fun take(wanted: Long): List<Charge> {
+        var missing = wanted
+        val charges = mutableListOf<Charge>()
+        while (missing > 0 && lots.isNotEmpty()) {
+            val lot = lots.first()
+            val amount = minOf(missing, lot.remaining)
+            lot.remaining -= amount
+            missing -= amount
+            charges += Charge.FromLot(amount, lot)
+            if (lot.remaining == 0L) lots.removeFirst()
+        }
+        return charges
+    }
+
+    /** Puts [amount] unused tokens of [lot] back while they may be spent. */
+    fun putBack(lot: TokenLot, amount: Long) {
+        lot.remaining += amount
+        if (lot !in
+            lots
+        ) {
+            lots.add(lots.indexOfFirst { it.expires > lot.expires }.let { if (it < 0) lots.size else it }, lot)
+        }
+    }
+
+    /** Drops what may not be spent any more; returns the lots with tokens to give back. */
+    fun expire(now: Duration): List<TokenLot> {
+        asked.values.removeIf { now - it.at > times.grantLife }
+        if (lots.isEmpty()) return emptyList()
+        val (expired, valid) = lots.partition { now > it.expires }
+        if (expired.isEmpty()) return emptyList()
+        lots.clear()
+        lots.addAll(valid)
+        return expired
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/OwnedShare.kt
@@ -0,0 +1,93 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.TransferId
+import io.anvilvalve.api.peer.PeerMessage
+import kotlin.time.Duration
+
+/** A share that this host refills, with the grants made from it; it stays empty while tokens of others may be out. */
+internal class OwnedShare(limit: ShareLimit, clock: Duration, emptyUntil: Duration, private val times: FleetTimes) {
+    private class Grant(val message: PeerMessage.TokenGrant, val at: Duration) {
+        var unreturned = message.amount
+        val returns = HashSet<TransferId>()
+        var spentAt: Long? = null
+    }
+
+    private class Hold(val until: Duration, val micros: Long)
+
+    private val bucket = ShareBucket(limit, clock)
+    private val grants = LinkedHashMap<TransferId, Grant>()
+    private val holding = ArrayDeque<Grant>()
+    private var inherited: Hold? = Hold(emptyUntil, bucket.holdAll())
+    private var nextLimit: Pair<Duration, ShareLimit>? = null
+
+    val tokens: Long get() = bucket.tokens
+    val position: Long get() = bucket.position
+
+    /** Ends holds that have run out and refills; [clock] counts only time in which the host was current. */
+    fun advance(clock: Duration, now: Duration) {
+        bucket.refill(clock)
+        inherited?.takeIf { now > it.until }?.let {
+            bucket.release(it.micros)
+            inherited = null
+        }
+        while (holding.firstOrNull()?.let { now > it.at + times.withDrift(times.grantLife) } == true) {
+            val grant = holding.removeFirst()
+            bucket.release(grant.unreturned * ShareLayout.MICROS)
+            grant.spentAt = bucket.position
+        }
+        nextLimit?.takeIf { now >= it.first }?.let {
+            nextLimit = null
+            bucket.changeLimit(it.second)
+        }
+    }
+
+    /** Goes to the lower of both limits at once and to [limit] when no host refills by the old one any more. */
+    fun changeLimit(limit: ShareLimit, now: Duration) {
+        bucket.changeLimit(bucket.limit.lowest(limit))
+        nextLimit = now + times.removalWait to limit
+    }
+
+    fun spend(wanted: Long): Long = bucket.spend(wanted)
+
+    fun refund(amount: Long, since: Long) = bucket.refund(amount, since)
+
+    /** Debits a grant for [request]; a repeated request gets the same grant again. */
+    fun grant(request: PeerMessage.TokenRequest, now: Duration): PeerMessage.TokenGrant {
+        grants[request.id]?.let { return it.message }
+        val amount = bucket.hold(request.amount)
+        val message = PeerMessage.TokenGrant(request.id, request.organisation, request.share, amount)
+        val grant = Grant(message, now)
+        grants[request.id] = grant
+        holding.addLast(grant)
+        forgetOldGrants(now)
+        return message
+    }
+
+    /** Credits returned tokens of a grant, each return once and never more than was granted. */
+    fun giveBack(message: PeerMessage.TokenReturn) {
+        val grant = grants[TransferId(message.id.value.substringBefore(RETURN_MARK))] ?: return
+        if (!grant.returns.add(message.id)) return
+        val amount = message.amount.coerceIn(0, grant.unreturned)
+        grant.unreturned -= amount
+        when (val since = grant.spentAt) {
+            null -> bucket.unhold(amount)
+            else -> bucket.refund(amount, since)
+        }
+    }
+
+    private fun forgetOldGrants(now: Duration) {
+        val oldest = grants.values.iterator()
+        while (oldest.hasNext()) {
+            val grant = oldest.next()
+            val old = grant.spentAt != null && (grants.size > GRANTS_KEPT || now - grant.at > times.refundKeep)
+            if (!old) return
+            oldest.remove()
+        }
+    }
+
+    companion object {
+        /** Separates the transfer id of a grant from the number of the return. */
+        const val RETURN_MARK = '~'
+        private const val GRANTS_KEPT = 2_048
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
@@ -0,0 +1,113 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** Decides which slots this host takes and gives up, and spreads the appends of the hosts over time. */
+internal class SlotAssigner(
+    private val self: Member,
+    private val slots: SlotTable,
+    private val view: Membership,
+    private val times: FleetTimes,
+    private val random: Random,
+) {
+    private val freeSince = HashMap<Int, Duration>()
+    private val givenUp = HashMap<Int, Duration>()
+    private val releasing = HashSet<Int>()
+    private var nextAppend: Duration? = null
+
+    /** Slots that this host refills: owned in log order and not being released. */
+    fun refilled(): Set<Int> = slots.ownedBy(self.incarnation).filter { it !in releasing }.toSet()
+
+    /** Notes what the log says; a slot counts as released from the moment the record is written. */
+    fun tableChanged(now: Duration) {
+        val done = releasing.filter { slots.owner(it) != self.incarnation }
+        releasing.removeAll(done.toSet())
+        done.forEach { givenUp[it] = now }
+        freeSince.keys.removeIf { !isFree(it) }
+    }
+
+    /** Returns the record to append at [now], if any; called while the host is current and the log can be read. */
+    fun next(now: Duration): LogRecord? {
+        val record = wanted(now)
+        if (record == null) {
+            nextAppend = null
+            return null
+        }
+        val due = nextAppend
+        if (due == null) nextAppend = now + times.appendJitter * random.nextDouble()
+        if (due == null || now < due) return null
+        nextAppend = now + times.appendRetry + times.appendJitter * random.nextDouble()
+        if (record is LogRecord.SlotsReleased) releasing += record.slots
+        return record
+    }
+
+    /** Returns the record that gives up all slots, if any are left, and repeats it until the log shows it. */
+    fun releaseAll(now: Duration, append: Boolean): LogRecord? {
+        val owned = slots.ownedBy(self.incarnation)
+        releasing += owned
+        if (owned.isEmpty() || !append || nextAppend.let { it != null && now < it }) return null
+        nextAppend = now + times.appendRetry
+        return LogRecord.SlotsReleased(owned, self.incarnation)
+    }
+
+    private fun wanted(now: Duration): LogRecord? {
+        if (releasing.isNotEmpty()) return LogRecord.SlotsReleased(releasing.sorted(), self.incarnation)
+        val free = (0 until slots.count).filter(::isFree)
+        free.forEach { freeSince.getOrPut(it) { now } }
+        val mine = if (free.isEmpty()) emptyList() else share(free, now)
+        if (mine.isNotEmpty()) return LogRecord.SlotsAssigned(mine, self.incarnation, mine.map(slots::owner))
+        val excess = if (free.isEmpty()) excess() else emptyList()
+        return if (excess.isEmpty()) null else LogRecord.SlotsReleased(excess, self.incarnation)
+    }
+
+    private fun isFree(slot: Int): Boolean {
+        val owner = slots.owner(slot) ?: return true
+        return owner !in view && !view.isBeingRemoved(owner)
+    }
+
+    /** Free slots for this host: the planned ones, and after some time also those that their planned owner left. */
+    private fun share(free: List<Int>, now: Duration): List<Int> {
+        val loads = loads()
+        val quota = (slots.count + view.members.size - 1) / view.members.size
+        val mine = mutableListOf<Int>()
+        for (slot in free) {
+            val planned = view.members.filter { loads.getValue(it.incarnation) < quota }
+                .maxByOrNull { Rendezvous.weight(it.host.value, slot.toLong()) } ?: self
+            loads.merge(planned.incarnation, 1, Int::plus)
+            val abandoned = now - freeSince.getValue(slot) > times.slotPatience
+            if (planned.incarnation == self.incarnation || abandoned) mine += slot
+        }
+        return mine.filter { now - (givenUp[it] ?: -times.retakeAfter) >= times.retakeAfter }
+    }
+
+    /** Slots to give up for members that have less than an equal number. */
+    private fun excess(): List<Int> {
+        val loads = loads()
+        val fair = slots.count / view.members.size
+        var missing = loads.values.sumOf { maxOf(0, fair - it) }
+        var given = 0
+        while (missing > 0) {
+            val donor = loads.entries.sortedBy { it.key.value }.maxBy { it.value }
+            if (donor.value <= fair) break
+            donor.setValue(donor.value - 1)
+            if (donor.key == self.incarnation) given++
+            missing--
+        }
+        return slots.ownedBy(self.incarnation)
+            .sortedBy { Rendezvous.weight(self.host.value, it.toLong()) }
+            .take(given)
+    }
+
+    private fun loads(): MutableMap<Incarnation, Int> {
+        val loads = view.members.associateTo(HashMap()) { it.incarnation to 0 }
+        for (slot in 0 until slots.count) {
+            val owner = slots.owner(slot)
+            if (owner != null && owner in loads) loads.merge(owner, 1, Int::plus)
+        }
+        return loads
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetWorld.kt
@@ -0,0 +1,300 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.release.Organisation
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Short times, so that a few seconds of virtual time hold removals, outages and takeovers. */
+internal val shortTimes = FleetTimes(
+    freshness = 2.seconds,
+    outageHold = 8.seconds,
+    grantLife = 500.milliseconds,
+    removalMargin = 125.milliseconds,
+    probeInterval = 400.milliseconds,
+    suspectAfter = 2_500.milliseconds,
+    suspectAloneAfter = 5.seconds,
+    appendRetry = 600.milliseconds,
+    appendJitter = 200.milliseconds,
+    slotPatience = 1_500.milliseconds,
+    retakeAfter = 5.seconds,
+    tick = 100.milliseconds,
+)
+
+/** One process: its rules, and its own monotonic clock that runs at [rate] times true time. */
+internal class SimulatedHost(
+    val member: Member,
+    val rules: FleetRules,
+    val startedAt: Duration,
+    private val rate: Double,
+) {
+    var reducer: Reducer<FleetEvent, FleetEffect> = rules
+    var alive = true
+    var pausedUntil = Duration.ZERO
+    var stopped = false
+
+    /** Time that the process believes it is; set only by a planted fault. */
+    var staleNow: Duration? = null
+
+    /** Offset that the checker sees; replaced only by a planted fault. */
+    var applied: () -> LogOffset = { rules.applied }
+
+    fun clock(at: Duration): Duration = (at - startedAt) * rate
+}
+
+/** Several hosts in virtual time over a fake log and network whose faults are drawn from [seed]. */
+internal class FleetWorld(
+    seed: Long,
+    private val hostCount: Int,
+    private val faults: Boolean = true,
+    private val timesOf: (Int) -> FleetTimes = { shortTimes },
+    private val plant: (SimulatedHost) -> Unit = {},
+) {
+    private class Event(val at: Duration, val order: Long, val run: () -> Unit)
+
+    val random = Random(seed)
+    val checker = FleetChecker()
+    val hosts = mutableListOf<SimulatedHost>()
+    val trace = ArrayDeque<String>()
+    var now = Duration.ZERO
+    var checksClockOnWake = true
+    private val agenda = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private val log = mutableListOf<LogRecord>()
+    private val organisations = listOf(
+        Organisation(OrganisationId("small"), rate = 1_000, burst = 2_000),
+        Organisation(OrganisationId("large"), rate = 20_000, burst = 50_000),
+    )
+    private var logDownUntil = Duration.ZERO
+    private var partition = emptySet<String>()
+    private var order = 0L
+    private var starts = 0
+    private var requests = 0
+
+    init {
+        repeat(hostCount) { start("h$it", "10.0.0.$it:1", it) }
+        if (faults) after(between(3, 5)) { injectFault() }
+    }
+
+    fun run(length: Duration) {
+        while (agenda.isNotEmpty() && agenda.peek().at <= length) {
+            val event = agenda.poll()
+            now = event.at
+            event.run()
+            checker.afterStep(this)
+            if (order % DEADLINE_CHECK == 0L) checker.checkDeadlines(now - 1.seconds)
+        }
+        now = length
+        checker.atEnd(organisations)
+    }
+
+    private fun start(name: String, address: String, index: Int) {
+        val member = Member(
+            HostId(name),
+            Incarnation("$name#${starts++}"),
+            address,
+            DataCentreId("dc${index % 2}"),
+            RegionId("r"),
+        )
+        // 0.5% around true time is 1% between two hosts.
+        val rate = 1 + (random.nextDouble() - 0.5) * 0.0099
+        val rules = FleetRules(member, random.nextLong(), SLOTS, maxShares = 4, times = timesOf(index))
+        val host = SimulatedHost(member, rules, now, rate)
+        plant(host)
+        hosts += host
+        note("start ${member.incarnation} at $address")
+        handle(host, FleetEvent.LimitsChanged(organisations))
+        every(host, 100) { handle(host, FleetEvent.Tick) }
+        every(host, 300) { readLog(host) }
+        every(host, 250) { admit(host) }
+    }
+
+    private fun every(host: SimulatedHost, millis: Int, action: () -> Unit) {
+        if (host.stopped) return
+        after((millis * (0.5 + random.nextDouble())).milliseconds) {
+            if (host.alive && !host.stopped && now >= host.pausedUntil) action()
+            every(host, millis, action)
+        }
+    }
+
+    private fun readLog(host: SimulatedHost) {
+        val sentAt = host.clock(now)
+        after(latency()) {
+            val down = now < logDownUntil
+            val end = log.size
+            after(latency()) {
+                if (down) {
+                    deliver(host) {
+                        handle(host, FleetEvent.LogFailed)
+                    }
+                } else {
+                    deliver(host) { catchUp(host, end, sentAt) }
+                }
+            }
+        }
+    }
+
+    private fun catchUp(host: SimulatedHost, end: Int, sentAt: Duration) {
+        val from = host.rules.applied.value.toInt() + 1
+        val page = if (chance(0.1)) minOf(end, from + 2) else end
+        for (offset in from until page) handle(host, FleetEvent.RecordApplied(LogOffset(offset.toLong()), log[offset]))
+        if (page == end) handle(host, FleetEvent.TailReached(sentAt))
+    }
+
+    private fun append(host: SimulatedHost, record: LogRecord) {
+        val copies = if (faults && chance(0.15)) 2 else 1
+        repeat(copies) { copy ->
+            // A second copy may come late, but within the time that a host leaves a released slot alone.
+            after(if (copy == 0) latency() else between(0, 4)) {
+                if (now < logDownUntil) {
+                    deliver(host) { handle(host, FleetEvent.LogFailed) }
+                } else {
+                    note("log ${log.size} $record")
+                    log += record
+                }
+            }
+        }
+        if (faults && chance(0.05)) deliver(host) { handle(host, FleetEvent.LogFailed) }
+    }
+
+    private fun send(host: SimulatedHost, effect: FleetEffect.Send) {
+        val applied = host.rules.applied
+        val copies = if (!faults || !chance(0.1)) 1 else random.nextInt(0, 3)
+        repeat(copies) {
+            val delay = if (faults && chance(0.03)) between(0, 4) else latency()
+            after(delay) {
+                val target = hosts.lastOrNull { it.alive && !it.stopped && it.member.address == effect.to.address }
+                val apart = (host.member.address in partition) != (effect.to.address in partition)
+                if (target != null && !apart) {
+                    deliver(target) { handle(target, FleetEvent.PeerReceived(host.member, applied, effect.message)) }
+                }
+            }
+        }
+    }
+
+    /** Runs [action] now, or when the paused process wakes. */
+    private fun deliver(host: SimulatedHost, action: () -> Unit) {
+        if (!host.alive || host.stopped) return
+        if (now < host.pausedUntil) after(host.pausedUntil - now) { deliver(host, action) } else action()
+    }
+
+    private fun admit(host: SimulatedHost) {
+        val organisation = organisations[random.nextInt(organisations.size)]
+        val tokens = random.nextLong(1, organisation.burst / 4)
+        val id = RequestId("q${requests++}")
+        val deadline = between(0, 2)
+        checker.asked(id, organisation.id, tokens, host, now + deadline)
+        handle(host, FleetEvent.Admit(id, organisation.id, tokens, host.clock(now) + deadline))
+    }
+
+    private fun handle(host: SimulatedHost, event: FleetEvent) {
+        if (!host.alive || host.stopped) return
+        host.reducer.reduce(event, host.staleNow ?: host.clock(now)).forEach { perform(host, it) }
+    }
+
+    private fun perform(host: SimulatedHost, effect: FleetEffect) {
+        when (effect) {
+            is FleetEffect.Append -> append(host, effect.record)
+            is FleetEffect.Send -> send(host, effect)
+            is FleetEffect.Admitted -> admitted(host, effect.id)
+            is FleetEffect.Refused -> checker.refused(effect.id)
+            is FleetEffect.SelfRemoved -> restart(host)
+            is FleetEffect.Left -> host.stopped = true
+            else -> note("${host.member.incarnation} $effect")
+        }
+    }
+
+    private fun admitted(host: SimulatedHost, id: RequestId) {
+        val tokens = checker.admitted(id, now)
+        note("${host.member.incarnation} admits $id $tokens")
+        after(between(0, 3)) {
+            if (host.alive && !host.stopped) {
+                val used = if (chance(0.5)) tokens else random.nextLong(0, tokens + 1)
+                deliver(host) {
+                    checker.settled(id, used)
+                    handle(host, FleetEvent.Settle(id, used))
+                }
+            }
+        }
+    }
+
+    private fun restart(host: SimulatedHost) {
+        host.stopped = true
+        val index = host.member.host.value.drop(1).toInt()
+        after(latency()) { start(host.member.host.value, host.member.address, index) }
+    }
+
+    private fun injectFault() {
+        val running = hosts.filter { it.alive && !it.stopped }
+        val host = running.randomOrNull(random)
+        when (random.nextInt(7)) {
+            0 -> logDownUntil = now + between(0, 12)
+            1 -> split(hosts.map { it.member.address }.filter { chance(0.4) }.toSet())
+            2, 3 -> host?.let(::pause)
+            4 -> host?.let(::crash)
+            5 -> host?.let { handle(it, FleetEvent.Drain) }.also { note("drain ${host?.member?.incarnation}") }
+            else -> if (running.size < hostCount) start("h$starts", "10.0.1.$starts:1", starts)
+        }
+        after(between(0, 4)) { injectFault() }
+    }
+
+    private fun split(addresses: Set<String>) {
+        note("partition $addresses")
+        partition = addresses
+        after(between(0, 6)) { partition = emptySet() }
+    }
+
+    private fun pause(host: SimulatedHost) {
+        val before = host.clock(now)
+        host.pausedUntil = now + between(0, 8)
+        note("pause ${host.member.incarnation} until ${host.pausedUntil}")
+        if (!checksClockOnWake) {
+            host.staleNow = before
+            after(host.pausedUntil - now + 500.milliseconds) { host.staleNow = null }
+        }
+    }
+
+    private fun crash(host: SimulatedHost) {
+        note("crash ${host.member.incarnation}")
+        host.alive = false
+        host.stopped = true
+        val sameAddress = chance(0.6)
+        val index = host.member.host.value.drop(1).toInt()
+        after(between(0, 6)) {
+            val address = if (sameAddress) host.member.address else "10.0.2.$starts:1"
+            start(host.member.host.value, address, index)
+        }
+    }
+
+    private fun after(delay: Duration, run: () -> Unit) {
+        agenda += Event(now + delay, order++, run)
+    }
+
+    private fun latency(): Duration = random.nextInt(1, 40).milliseconds
+
+    private fun between(from: Int, until: Int): Duration = random.nextInt(from * 1_000 + 1, until * 1_000).milliseconds
+
+    private fun chance(probability: Double): Boolean = random.nextDouble() < probability
+
+    private fun note(line: String) {
+        trace += "$now $line"
+        if (trace.size > TRACE_LINES) trace.removeFirst()
+    }
+
+    companion object {
+        const val SLOTS = 8
+        private const val DEADLINE_CHECK = 16L
+        private const val TRACE_LINES = 60
+    }
+}
