--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/RendezvousHash.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/RendezvousHash.kt
@@ -22,14 +22,13 @@
         return mix(absorb(hash, node))
     }
 
-    /** Returns the node with the highest score for [key], or null when there is none; [name] identifies a node. */
-    fun <T> first(key: String, nodes: Iterable<T>, name: (T) -> String): T? = nodes.minWithOrNull(order(key, name))
+    /** Returns the node with the highest score for [key], or null when there is none. */
+    fun choose(key: String, nodes: Collection<String>): String? = nodes.minWithOrNull(order(key))
 
-    /** Returns [nodes] by falling score for [key]; [name] identifies a node. */
-    fun <T> ranked(key: String, nodes: Iterable<T>, name: (T) -> String): List<T> = nodes.sortedWith(order(key, name))
+    /** Returns [nodes] by falling score for [key]. */
+    fun rank(key: String, nodes: Collection<String>): List<String> = nodes.sortedWith(order(key))
 
-    private fun <T> order(key: String, name: (T) -> String): Comparator<T> =
-        compareByDescending<T> { score(key, name(it)) }.thenBy { name(it) }
+    private fun order(key: String): Comparator<String> = compareByDescending<String> { score(key, it) }.thenBy { it }
 
     private fun absorb(start: Long, text: String): Long =
         text.fold(start) { hash, char -> (hash xor char.code.toLong()) * PRIME }
--- a/anvilvalve-api/src/test/kotlin/io/anvilvalve/api/RendezvousHashSpec.kt
+++ b/anvilvalve-api/src/test/kotlin/io/anvilvalve/api/RendezvousHashSpec.kt
@@ -17,21 +17,21 @@
 
         test("the order of the nodes does not matter") {
             repeat(100) { key ->
-                val reversed = RendezvousHash.first("$key", nodes.reversed(), { it })
-                RendezvousHash.first("$key", nodes, { it }) shouldBe reversed
+                val reversed = RendezvousHash.choose("$key", nodes.reversed())
+                RendezvousHash.choose("$key", nodes) shouldBe reversed
             }
         }
 
         test("keys move only away from a lost node") {
             repeat(1_000) { key ->
-                val before = RendezvousHash.first("$key", nodes, { it })
-                val after = RendezvousHash.first("$key", nodes - "host-3", { it })
+                val before = RendezvousHash.choose("$key", nodes)
+                val after = RendezvousHash.choose("$key", nodes - "host-3")
                 if (before != "host-3") after shouldBe before
             }
         }
 
         test("keys spread evenly over names that differ in the last character") {
-            val counts = (1..10_000).groupingBy { RendezvousHash.first("$it", nodes, { node -> node }) }.eachCount()
+            val counts = (1..10_000).groupingBy { RendezvousHash.choose("$it", nodes) }.eachCount()
             nodes.forEach { counts.getValue(it) shouldBeInRange 850..1_150 }
         }
 
@@ -39,8 +39,8 @@
             RendezvousHash.score("ab", "c") shouldNotBe RendezvousHash.score("a", "bc")
         }
 
-        test("first agrees with ranked, and nothing is first of nothing") {
-            RendezvousHash.ranked("key", nodes, { it }).first() shouldBe RendezvousHash.first("key", nodes, { it })
-            RendezvousHash.first("key", emptyList<String>(), { it }) shouldBe null
+        test("the chosen node ranks first, and nothing is chosen of nothing") {
+            RendezvousHash.rank("key", nodes).first() shouldBe RendezvousHash.choose("key", nodes)
+            RendezvousHash.choose("key", emptyList()) shouldBe null
         }
     })
--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/EngineProgress.kt
@@ -0,0 +1,58 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.port.EngineTarget
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Release
+import kotlin.time.Duration
+
+/** How far one engine is on its way to its [target]. */
+internal class EngineProgress(var server: BackendServer, var target: EngineTarget) {
+    enum class Step {
+        /** The state is read when it is due. */
+        READ,
+
+        /** The state was asked for. */
+        READING,
+
+        /** The state differs from the target; an order waits for its turn. */
+        WAITING,
+
+        /** An order was sent and not answered. */
+        ORDERED,
+    }
+
+    var step = Step.READ
+    var due = Duration.ZERO
+    var observed: EngineTarget? = null
+    var readAt = -Duration.INFINITE
+
+    /** Time of the last order of this holder for this target. */
+    var orderedAt: Duration? = null
+
+    val isReached: Boolean get() = observed == target
+
+    /** Number of models, versions and adapters that the engine has to load. */
+    val loads: Int
+        get() = target.models.entries.count { it !in observed?.models?.entries.orEmpty() } +
+            target.adapters.entries.count { it !in observed?.adapters?.entries.orEmpty() }
+
+    fun next(step: Step, due: Duration) {
+        this.step = step
+        this.due = due
+    }
+
+    fun retarget(server: BackendServer, target: EngineTarget, now: Duration) {
+        this.server = server
+        if (this.target == target) return
+        this.target = target
+        orderedAt = null
+        next(Step.READ, now)
+    }
+}
+
+/** Returns the state that the release names for [server]. */
+internal fun Release.targetOf(server: BackendServer): EngineTarget = EngineTarget(
+    role = server.role,
+    models = server.models.associateWith { models[it]?.version.orEmpty() },
+    adapters = server.adapters.associateWith { adapters[it]?.version.orEmpty() },
+)
--- /dev/null
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/OrderIssuer.kt
@@ -0,0 +1,150 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.port.EngineOrder
+import io.anvilvalve.api.port.EngineTarget
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.release.Role
+import io.anvilvalve.rules.release.EngineProgress.Step
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Brings engines to the state that the release names, while this host holds the lease.
+ *
+ * A new holder reads every engine, so it finishes what the holder before it began. An order is sent only right after
+ * the state was read, and the state is read again after it.
+ */
+internal class OrderIssuer(
+    private val leases: OrderLeases,
+    private val outbox: LogOutbox,
+    private val times: ReleaseTimes,
+) {
+    private val engines = LinkedHashMap<BackendServerId, EngineProgress>()
+    private var release = Release()
+    private var nextLoad = Duration.ZERO
+    private var nextScan = Duration.ZERO
+    private var nextNumber = 0L
+    private var out = mutableListOf<ReleaseEffect>()
+
+    /** Engines whose role change waits because a pool would fall below what the release names. */
+    var held: Set<BackendServerId> = emptySet()
+        private set
+
+    /** Returns the effects since the last call. */
+    fun takeEffects(): List<ReleaseEffect> = out.also { out = mutableListOf() }
+
+    fun releaseChanged(next: Release, now: Duration) {
+        release = next
+        val wanted = next.servers.values.filter { it.role != Role.SERVICE && !it.leaving }
+        engines.keys.retainAll(wanted.map { it.id }.toSet())
+        wanted.forEach { server ->
+            val target = next.targetOf(server)
+            engines[server.id]?.retarget(server, target, now)
+                ?: engines.put(server.id, EngineProgress(server, target))
+        }
+    }
+
+    /** Forgets what an earlier lease had seen; [held] orders start over with reads. */
+    fun leaseChanged(now: Duration) {
+        nextLoad = now + times.loadSpacing
+        engines.keys.toList().forEach { id ->
+            engines.computeIfPresent(id) { _, old -> EngineProgress(old.server, old.target) }
+        }
+    }
+
+    fun stateRead(id: BackendServerId, state: EngineTarget?, now: Duration) {
+        val engine = engines[id]?.takeIf { it.step == Step.READING } ?: return
+        engine.observed = state
+        engine.readAt = now
+        val reached = engine.isReached
+        when {
+            state == null -> engine.next(Step.READ, now + times.stateInterval)
+
+            reached -> reached(engine, now)
+
+            isUnderWay(engine, now) -> engine.next(Step.READ, now + times.stateInterval)
+
+            else -> {
+                engine.next(Step.WAITING, now)
+                nextScan = now
+            }
+        }
+        scan(now)
+    }
+
+    fun answered(id: BackendServerId, refused: Boolean?, now: Duration) {
+        val engine = engines[id]?.takeIf { it.step == Step.ORDERED } ?: return
+        if (refused == true) {
+            engine.orderedAt = null
+            leases.refused(now)
+        }
+        engine.next(Step.READ, if (refused == false) now + times.stateInterval else now)
+    }
+
+    fun tick(now: Duration) {
+        if (now >= nextScan) scan(now)
+    }
+
+    private fun reached(engine: EngineProgress, now: Duration) {
+        if (engine.orderedAt != null) {
+            outbox.add(LogRecord.OrderDone(engine.server.id, describe(engine.target)), now)
+        }
+        engine.orderedAt = null
+        engine.next(Step.READ, now + times.auditInterval)
+    }
+
+    private fun scan(now: Duration) {
+        if (!leases.mayIssue(now)) return
+        nextScan = now + SCAN_INTERVAL
+        engines.values.filter { it.step != Step.WAITING && it.due <= now }.take(MAX_READS).forEach { read(it, now) }
+        val capacity = PoolCapacity(engines.values) { isMoving(it, now) }
+        val waiting = engines.values.filter { it.step == Step.WAITING }
+        held = waiting.filterNot { capacity.allows(it) }.map { it.server.id }.toSet()
+        waiting.forEach { if (mayOrder(it, capacity, now)) orderOrRead(it, capacity, now) }
+    }
+
+    private fun mayOrder(engine: EngineProgress, capacity: PoolCapacity, now: Duration): Boolean =
+        (engine.server.checksFencing || leases.isSettled(now)) &&
+            (engine.loads == 0 || now >= nextLoad) &&
+            capacity.allows(engine)
+
+    /** Sends the order when the state was read just now; reads it again otherwise. */
+    private fun orderOrRead(engine: EngineProgress, capacity: PoolCapacity, now: Duration) {
+        if (now - engine.readAt > SCAN_INTERVAL) {
+            read(engine, now)
+            return
+        }
+        val id = "${engine.server.id}@${leases.fencing}-${nextNumber++}"
+        capacity.leave(engine)
+        nextLoad = maxOf(nextLoad, now + times.loadSpacing * engine.loads)
+        engine.orderedAt = now
+        engine.next(Step.ORDERED, now + times.orderTimeout)
+        out += ReleaseEffect.SendOrder(engine.server.id, EngineOrder(id, leases.fencing, engine.target))
+    }
+
+    private fun read(engine: EngineProgress, now: Duration) {
+        engine.next(Step.READING, now + times.orderTimeout)
+        out += ReleaseEffect.ReadState(engine.server.id)
+    }
+
+    private fun isUnderWay(engine: EngineProgress, now: Duration): Boolean =
+        engine.orderedAt?.let { now - it < times.moveTimeout } == true
+
+    /** An engine off its target may also be moving by an order of the holder before this one. */
+    private fun isMoving(engine: EngineProgress, now: Duration): Boolean {
+        val held = leases.heldSince ?: return true
+        val byPredecessor = leases.hadPredecessor && now - held < times.moveTimeout
+        return isUnderWay(engine, now) || (byPredecessor && !engine.isReached && engine.step != Step.WAITING)
+    }
+
+    private fun describe(target: EngineTarget): String = "${target.role} ${target.models.entries.sortedBy {
+        it.key.value
+    }.joinToString(",") { "${it.key}=${it.value}" }}"
+
+    private companion object {
+        val SCAN_INTERVAL: Duration = 500.milliseconds
+        const val MAX_READS = 64
+    }
+}
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
@@ -2,6 +2,7 @@
 
 import io.anvilvalve.api.Reducer
 import io.anvilvalve.api.RendezvousHash
+import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.DataCentreId
 import io.anvilvalve.api.id.Incarnation
 import io.anvilvalve.api.id.KeyHash
@@ -25,7 +26,7 @@
  */
 class ReleaseRules(
     private val self: Incarnation,
-    private val dataCentre: DataCentreId,
+    private val dataCentre: DataCentreId? = null,
     seed: Long = 0,
     private val times: ReleaseTimes = ReleaseTimes(),
     private val gatherClaims: Boolean = false,
@@ -35,6 +36,8 @@
     private val outbox = LogOutbox(times)
     private val table = ClaimTable(times.claimKeep * CLOCK_DRIFT + IdempotencyKeys.CLOCK_SKEW)
     private val claims = ClaimCoordinator(self, table, outbox, times, ::isGone)
+    private val leases = OrderLeases(self, outbox, times)
+    private val orders = OrderIssuer(leases, outbox, times)
     private val random = Random(seed)
     private val removed = mutableSetOf<Incarnation>()
     private var members = emptyList<Member>()
@@ -45,6 +48,9 @@
     var applied: LogOffset = LogOffset(-1)
         private set
 
+    /** Engines whose role change waits because a pool would fall below the capacity that the release names. */
+    val heldEngines: Set<BackendServerId> get() = orders.held
+
     /** Release in force; withdrawn keys are not in it. */
     val release: Release get() = state.release
 
@@ -52,6 +58,7 @@
         this.now = now
         handle(event)
         out += claims.takeEffects()
+        out += orders.takeEffects()
         flush()
         return out.also { out = mutableListOf() }
     }
@@ -60,6 +67,7 @@
     fun snapshot(): ReleaseSnapshot = state.snapshot().copy(
         claims = table.keptClaims(now),
         abandonedClaims = table.abandonedClaims(now),
+        orderLease = leases.newest,
     )
 
     /** Returns the organisation that a key speaks for, or null when the key is unknown or withdrawn. */
@@ -79,9 +87,9 @@
             is ReleaseEvent.ClaimGivenUp -> claims.givenUp(event.id, event.sent, now)
             is ReleaseEvent.MembersChanged -> membersChanged(event)
             is ReleaseEvent.RemovalEffective -> ownerGone(event.incarnation)
-            is ReleaseEvent.StateRead -> Unit
-            is ReleaseEvent.OrderAnswered -> Unit
-            is ReleaseEvent.Tick -> claims.tick(event.wallMillis, now)
+            is ReleaseEvent.StateRead -> orders.stateRead(event.server, event.state, now)
+            is ReleaseEvent.OrderAnswered -> orders.answered(event.server, event.refused, now)
+            is ReleaseEvent.Tick -> tick(event.wallMillis)
         }
     }
 
@@ -105,8 +113,13 @@
 
             is LogRecord.HostLeft -> ownerGone(record.incarnation)
 
-            is LogRecord.OrderLease,
-            is LogRecord.OrderDone,
+            is LogRecord.OrderLease -> {
+                leases.granted(event.offset, record, now)
+                orders.leaseChanged(now)
+            }
+
+            is LogRecord.OrderDone -> outbox.confirm(record)
+
             is LogRecord.SnapshotChunk,
             is LogRecord.HostJoined,
             is LogRecord.HostRemoved,
@@ -120,20 +133,32 @@
         val before = release.number
         out += state.apply(record.note)
         if (release.number == before) return
-        out += ReleaseEffect.ReleaseChanged(release)
+        releaseChanged()
         record.note.changes.filterIsInstance<Change.WithdrawKey>().forEach { revoke(it.hash) }
     }
 
+    private fun releaseChanged() {
+        out += ReleaseEffect.ReleaseChanged(release)
+        orders.releaseChanged(release, now)
+    }
+
     private fun restored(event: ReleaseEvent.Restored) {
         if (event.covered <= applied) return
         applied = event.covered
         state.restore(event.state)
         table.restore(event.state, now)
-        out += ReleaseEffect.ReleaseChanged(release)
+        leases.restore(event.state.orderLease)
+        releaseChanged()
         event.state.withdrawnKeys.forEach { revoke(it) }
         claims.reconsider(now)
     }
 
+    private fun tick(wallMillis: Long) {
+        claims.tick(wallMillis, now)
+        leases.tick(now)
+        orders.tick(now)
+    }
+
     private fun withdrawalHeard(hash: KeyHash) {
         if (hash in withdrawn) return
         revoke(hash)
@@ -147,6 +172,7 @@
     private fun tailReached() {
         outbox.tailReached(now)
         claims.logRead()
+        leases.tailReached(now)
     }
 
     private fun appendFailed(event: ReleaseEvent.AppendFailed) {
@@ -156,6 +182,7 @@
 
     private fun membersChanged(event: ReleaseEvent.MembersChanged) {
         members = event.members
+        leases.membersChanged(members.map { it.incarnation }.toSet(), event.current)
         claims.reconsider(now)
     }
 
@@ -176,11 +203,9 @@
         }
     }
 
-    private fun gatherer(): Member? =
-        RendezvousHash.first("claims", members.filter { it.dataCentre == dataCentre }) { it.incarnation.value }
-
-    private companion object {
-        /** Clocks of two hosts drift apart by at most 1%. */
-        const val CLOCK_DRIFT = 1.01
+    private fun gatherer(): Member? {
+        val candidates = members.filter { it.dataCentre == dataCentre }
+        val chosen = RendezvousHash.choose("claims", candidates.map { it.incarnation.value })
+        return candidates.firstOrNull { it.incarnation.value == chosen }
     }
 }
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseTimes.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseTimes.kt
@@ -6,6 +6,9 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
+/** Clocks of two hosts drift apart by at most 1%. */
+internal const val CLOCK_DRIFT = 1.01
+
 /**
  * Times of the release rules.
  *
@@ -18,7 +21,6 @@
  * @property appendTimeout time after which an append without an answer counts as lost.
  * @property withdrawalSpread time over which hosts spread the append of a withdrawal that they heard of from peers.
  * @property freshness age V up to which a successful log read counts as evidence.
- * @property logReadTimeout upper bound on the time that one log read takes.
  * @property orderTimeout upper bound on the time that an order is under way.
  * @property stateInterval time between two reads of the state of an engine that has not reached its target.
  * @property auditInterval time between two reads of the state of an engine that has reached its target.
@@ -35,7 +37,6 @@
     val appendTimeout: Duration = 10.seconds,
     val withdrawalSpread: Duration = 5.seconds,
     val freshness: Duration = 8.seconds,
-    val logReadTimeout: Duration = 2.seconds,
     val orderTimeout: Duration = 10.seconds,
     val stateInterval: Duration = 2.seconds,
     val auditInterval: Duration = 5.minutes,
