Add the operator client

Cause: operators need to validate, publish and watch releases without relying on any single host. Conclusion: publishing looks the note up by id instead of relying on the answer to the append.

--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/Ctl.kt
@@ -0,0 +1,16 @@
+package io.anvilvalve.cli
+
+import io.anvilvalve.api.port.LiveHostList
+import io.anvilvalve.api.port.LogService
+
+/** What the commands work with; tests pass stand-ins. */
+internal class Ctl(
+    val log: LogService,
+    val operators: OperatorApi,
+    val operatorAddresses: List<String>,
+    val liveList: LiveHostList? = null,
+    val operatorPort: Int = 8_081,
+    val author: String = "operator",
+) {
+    val hosts: HostActions get() = HostActions(log, HostDirectory(operatorAddresses, liveList, operatorPort), operators)
+}
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/CtlCommand.kt
@@ -0,0 +1,53 @@
+package io.anvilvalve.cli
+
+import arrow.core.Either
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.findOrSetObject
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
+import java.nio.file.Path
+
+/** Loads the settings file; the left side lists its faults. */
+internal typealias CtlLoader = (Path) -> Either<List<String>, Ctl>
+
+/** Options that all commands share. */
+internal class CtlCommand(private val load: CtlLoader) : CliktCommand(name = "anvilvalvectl") {
+    val json by option("--json", help = "Print JSON.").flag()
+    private val settings by option("--settings", help = "Settings file.", envvar = "ANVILVALVE_SETTINGS")
+        .path()
+        .default(Path.of("anvilvalvectl.ini"))
+
+    override fun help(context: Context): String = "Publishes and watches releases of anvilvalve."
+
+    override fun run() {
+        currentContext.findOrSetObject { this }
+    }
+
+    /** Returns what the command works with, or ends the program with the faults of the settings. */
+    fun open(): Ctl = load(settings).fold(
+        { faults ->
+            echo(Outcome(ExitCode.USAGE, code = null, faults).render(json), err = !json)
+            throw ProgramResult(ExitCode.USAGE.number)
+        },
+        { it },
+    )
+
+    companion object {
+        fun create(load: CtlLoader): CtlCommand = CtlCommand(load).subcommands(
+            ValidateCommand(),
+            DiffCommand(),
+            PublishCommand(),
+            HistoryCommand(),
+            StatusCommand(),
+            WaitCommand(),
+            DrainCommand(),
+            KeyCommand().subcommands(KeyWithdrawCommand(), KeyHashCommand()),
+            HostCommand().subcommands(HostGoneCommand()),
+        )
+    }
+}
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/HostActions.kt
@@ -0,0 +1,149 @@
+package io.anvilvalve.cli
+
+import arrow.core.Either
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.log.LogCodec
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.port.LogService
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.encodeToJsonElement
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Commands that ask the hosts. */
+internal class HostActions(
+    private val log: LogService,
+    private val directory: HostDirectory,
+    private val operators: OperatorApi,
+) {
+    /** Shows the release of the log and the state of every host. */
+    suspend fun status(): Outcome {
+        val view = LogReader(log).read()
+        val answers = askAll { operators.status(it) }.fold({ return hostsUnknown(it) }, { it })
+        val logLine = view.fold({ it }, { "log: release ${it.release.number}, offset ${it.applied}" })
+        val lines = answers.map { (address, answer) -> answer.fold({ "$address: $it" }, { line(address, it) }) }
+        val exit = when {
+            answers.any { it.second.isLeft() } -> ExitCode.HOSTS_MISSING
+            view.isLeft() -> ExitCode.LOG_UNAVAILABLE
+            else -> ExitCode.OK
+        }
+        val release = view.getOrNull()?.let { mapOf("release" to JsonPrimitive(it.release.number.value)) }.orEmpty()
+        return Outcome(exit, code = null, listOf(logLine) + lines, release + ("hosts" to hostsJson(answers)))
+    }
+
+    /** Waits until every host has [release] in force. */
+    suspend fun wait(release: ReleaseNumber, timeout: Duration): Outcome {
+        var missing = listOf("no host was asked")
+        val reached = withTimeoutOrNull(timeout) {
+            while (missing.isNotEmpty()) {
+                missing = missing(release)
+                if (missing.isNotEmpty()) delay(POLL)
+            }
+        }
+        return if (reached != null) {
+            Outcome.ok(listOf("release $release is in force on all hosts"))
+        } else {
+            Outcome(
+                ExitCode.HOSTS_MISSING,
+                code = null,
+                listOf("release $release is not in force everywhere") + missing,
+            )
+        }
+    }
+
+    /**
+     * Withdraws a key through the log, or through the hosts while the log is down.
+     *
+     * The record may be in the log more than once without harm, so a lost answer is followed by another append.
+     */
+    suspend fun withdrawKey(hash: KeyHash): Outcome {
+        val record = listOf(LogCodec.encode(LogRecord.KeyWithdrawn(hash)))
+        repeat(ATTEMPTS) { attempt ->
+            log.append(record).onRight {
+                return Outcome.ok(
+                    listOf("key $hash is withdrawn from offset $it"),
+                    mapOf("offset" to JsonPrimitive(it.value)),
+                )
+            }
+            delay(POLL * (attempt + 1))
+        }
+        return withdrawAtHosts(hash)
+    }
+
+    /** Starts a planned stop of one host. */
+    suspend fun drain(address: String, deadline: Duration): Outcome = operators.drain(address, deadline).fold(
+        { Outcome(ExitCode.HOSTS_MISSING, code = null, listOf("$address: $it")) },
+        { Outcome.ok(listOf("$address drains; it stops within $deadline")) },
+    )
+
+    private suspend fun withdrawAtHosts(hash: KeyHash): Outcome {
+        val answers = askAll { operators.withdrawKey(it, hash) }.fold({ return hostsUnknown(it) }, { it })
+        val acknowledged = answers.count { it.second.isRight() }
+        val members = maxOf(answers.size, largestMembership())
+        val lines = listOf("the log is unavailable; $acknowledged of $members hosts have withdrawn key $hash") +
+            answers.mapNotNull { (address, answer) -> answer.leftOrNull()?.let { "$address: $it" } }
+        val fields = mapOf("acknowledged" to JsonPrimitive(acknowledged), "members" to JsonPrimitive(members))
+        val exit = if (acknowledged * 2 > members) ExitCode.OK else ExitCode.HOSTS_MISSING
+        return Outcome(exit, code = null, lines, fields)
+    }
+
+    /** The live list may lack hosts that admit requests, so the hosts' own view counts too. */
+    private suspend fun largestMembership(): Int = askAll { operators.status(it) }.getOrNull().orEmpty()
+        .mapNotNull { it.second.getOrNull()?.members?.size }
+        .maxOrNull() ?: 0
+
+    private suspend fun missing(release: ReleaseNumber): List<String> = askAll { operators.status(it) }.fold(
+        { listOf(it) },
+        { answers ->
+            answers.mapNotNull { (address, answer) ->
+                answer.fold(
+                    { "$address: $it" },
+                    { status -> "$address: release ${status.release}".takeIf { status.release < release.value } },
+                )
+            }
+        },
+    )
+
+    private suspend fun <T> askAll(ask: suspend (String) -> Either<String, T>): Either<String, List<Answer<T>>> =
+        directory.addresses().map { addresses ->
+            coroutineScope { addresses.map { address -> async { address to ask(address) } }.awaitAll() }
+        }
+
+    private fun hostsUnknown(reason: String): Outcome = Outcome(ExitCode.HOSTS_MISSING, code = null, listOf(reason))
+
+    private fun line(address: String, status: HostStatus): String {
+        val state = listOfNotNull(
+            "current".takeIf { status.current } ?: "not current",
+            "ready".takeIf { status.ready },
+            "draining".takeIf { status.draining },
+        )
+        return "$address: ${status.host} (${status.incarnation}) release ${status.release}, " +
+            "offset ${status.appliedOffset}, ${state.joinToString()}, ${status.running} running"
+    }
+
+    private fun hostsJson(answers: List<Answer<HostStatus>>): JsonElement = JsonArray(
+        answers.map { (address, answer) ->
+            val fields = answer.fold(
+                { mapOf("error" to JsonPrimitive(it)) },
+                { mapOf("status" to CliJson.format.encodeToJsonElement(it)) },
+            )
+            JsonObject(mapOf<String, JsonElement>("address" to JsonPrimitive(address)) + fields)
+        },
+    )
+
+    private companion object {
+        val POLL = 500.milliseconds
+        const val ATTEMPTS = 3
+    }
+}
+
+private typealias Answer<T> = Pair<String, Either<String, T>>
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/KeyCommands.kt
@@ -0,0 +1,35 @@
+package io.anvilvalve.cli
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.result.ResultCode
+import kotlinx.serialization.json.JsonPrimitive
+
+internal class KeyCommand : GroupCommand("key", "Commands about callers' keys.")
+
+internal class KeyWithdrawCommand :
+    OutcomeCommand("withdraw", "Withdraws a key for good, also while the log is down.") {
+    private val hash by argument(help = "SHA-256 of the key as 'key hash' prints it.")
+
+    override suspend fun perform(): Outcome = if (form.matches(hash)) {
+        root.open().hosts.withdrawKey(KeyHash(hash))
+    } else {
+        Outcome(ExitCode.REJECTED, ResultCode.MALFORMED_REQUEST, listOf("the hash must be 64 lower-case hex digits"))
+    }
+
+    private companion object {
+        val form = Regex("[0-9a-f]{64}")
+    }
+}
+
+/** Reads the key from standard input, because arguments are visible to other users of the machine. */
+internal class KeyHashCommand : OutcomeCommand("hash", "Prints the hash of the key in the first line of the input.") {
+    override suspend fun perform(): Outcome {
+        val key = readlnOrNull()?.trim().orEmpty()
+        if (key.isEmpty()) {
+            return Outcome(ExitCode.REJECTED, ResultCode.MALFORMED_REQUEST, listOf("the input has no key"))
+        }
+        val hash = KeyHash.of(key).hex
+        return Outcome.ok(listOf(hash), mapOf("hash" to JsonPrimitive(hash)))
+    }
+}
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/LogReader.kt
@@ -0,0 +1,83 @@
+package io.anvilvalve.cli
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.anvilvalve.api.BinaryCodec
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.log.LogCodec
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.port.LogFault
+import io.anvilvalve.api.port.LogPage
+import io.anvilvalve.api.port.LogService
+import io.anvilvalve.rules.release.ReleaseSnapshot
+import io.anvilvalve.rules.release.SnapshotCodec
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+
+/** Reads the log to its tail and rebuilds the release state from the newest snapshot and the records after it. */
+internal class LogReader(private val log: LogService) {
+    /** The part of the hosts' snapshots that the client needs; the rest is skipped. */
+    @Serializable
+    private data class StoredState(val release: ReleaseSnapshot)
+
+    /** Returns the state at the tail; the left side tells why the log cannot be read. */
+    suspend fun read(): Either<String, LogView> {
+        val records = sortedMapOf<Long, LogRecord>()
+        var next = LogOffset(0)
+        while (true) {
+            val page = readPage(next).fold({ return it.left() }, { it })
+            page.records.forEach { stored ->
+                LogCodec.decode(stored.data).onRight { records[stored.offset.value] = it }
+            }
+            next = page.records.lastOrNull()?.offset?.next() ?: maxOf(next, page.firstRetained)
+            if (next >= page.end) return rebuild(page.firstRetained, records)
+            if (page.records.isEmpty() && next < page.end && next == page.firstRetained) {
+                return "the log answers no records before its end".left()
+            }
+        }
+    }
+
+    private suspend fun readPage(from: LogOffset): Either<String, LogPage> {
+        val answer = log.read(from, PAGE, Duration.ZERO)
+        val fault = answer.leftOrNull()
+        return if (fault is LogFault.Truncated) {
+            log.read(fault.firstRetained, PAGE, Duration.ZERO).mapLeft(::describe)
+        } else {
+            answer.mapLeft(::describe)
+        }
+    }
+
+    private fun rebuild(firstRetained: LogOffset, records: Map<Long, LogRecord>): Either<String, LogView> {
+        val view = LogView()
+        if (firstRetained.value > 0) {
+            val (covered, state) = newestSnapshot(records.values)
+                ?: return "the log starts at offset $firstRetained and has no complete snapshot".left()
+            if (covered.next() < firstRetained) return "the newest snapshot ends before the retained log".left()
+            view.restore(covered, state)
+        }
+        records.forEach { (offset, record) -> view.apply(LogOffset(offset), record) }
+        return view.right()
+    }
+
+    private fun newestSnapshot(records: Collection<LogRecord>): Pair<LogOffset, ReleaseSnapshot>? {
+        val codec = SnapshotCodec()
+        return records.filterIsInstance<LogRecord.SnapshotChunk>()
+            .mapNotNull { codec.offer(it) }
+            .mapNotNull { whole ->
+                BinaryCodec.decode(StoredState.serializer(), whole.bytes).getOrNull()
+                    ?.let { whole.covered to it.release }
+            }
+            .maxByOrNull { it.first }
+    }
+
+    companion object {
+        private const val PAGE = 1_000
+
+        fun describe(fault: LogFault): String = when (fault) {
+            is LogFault.RateLimited -> "the log service is over its rate"
+            is LogFault.Unavailable -> "the log service is unavailable: ${fault.reason}"
+            is LogFault.Truncated -> "the log was truncated up to offset ${fault.firstRetained} while it was read"
+        }
+    }
+}
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/LogView.kt
@@ -0,0 +1,70 @@
+package io.anvilvalve.cli
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.NoteId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.release.ReleaseNote
+import io.anvilvalve.rules.release.NoteFault
+import io.anvilvalve.rules.release.ReleaseEffect
+import io.anvilvalve.rules.release.ReleaseEvent
+import io.anvilvalve.rules.release.ReleaseRules
+import io.anvilvalve.rules.release.ReleaseSnapshot
+import kotlin.time.Duration
+
+/** A note in the log and what all hosts decided on it. */
+internal data class Decision(
+    val offset: LogOffset,
+    val note: ReleaseNote,
+    val release: ReleaseNumber,
+    val faults: List<NoteFault>,
+) {
+    val isAccepted: Boolean get() = faults.isEmpty()
+}
+
+/** The release state as the log defines it, rebuilt with the rules of the hosts. */
+internal class LogView {
+    private val rules = ReleaseRules(self = Incarnation("anvilvalvectl"))
+    private val decided = LinkedHashMap<NoteId, Decision>()
+    private val wins = mutableMapOf<ReleaseNumber, Decision>()
+
+    val release: Release get() = rules.release
+
+    val snapshot: ReleaseSnapshot get() = rules.snapshot()
+
+    val applied: LogOffset get() = rules.applied
+
+    /** Decisions on the notes that the log still has, in log order. */
+    val history: List<Decision> get() = decided.values.toList()
+
+    fun decisionOn(id: NoteId): Decision? = decided[id]
+
+    /** Returns the note that made [number], when the log still has it. */
+    fun winnerOf(number: ReleaseNumber): Decision? = wins[number]
+
+    fun restore(covered: LogOffset, state: ReleaseSnapshot) {
+        rules.reduce(ReleaseEvent.Restored(covered, state), Duration.ZERO)
+    }
+
+    fun apply(offset: LogOffset, record: LogRecord) {
+        val effects = rules.reduce(ReleaseEvent.RecordApplied(offset, record), Duration.ZERO)
+        if (record !is LogRecord.Note) return
+        effects.forEach { effect ->
+            when (effect) {
+                is ReleaseEffect.ReleaseChanged ->
+                    decide(Decision(offset, record.note, effect.release.number, faults = emptyList()))
+
+                is ReleaseEffect.NoteRejected -> decide(Decision(offset, record.note, effect.current, effect.faults))
+
+                else -> Unit
+            }
+        }
+    }
+
+    private fun decide(decision: Decision) {
+        decided[decision.note.id] = decision
+        if (decision.isAccepted) wins[decision.release] = decision
+    }
+}
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/NoteFile.kt
@@ -0,0 +1,51 @@
+package io.anvilvalve.cli
+
+import arrow.core.Either
+import arrow.core.flatMap
+import io.anvilvalve.api.id.NoteId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.ReleaseNote
+import kotlinx.serialization.Serializable
+import java.nio.file.Files
+import java.nio.file.Path
+import java.security.MessageDigest
+
+/**
+ * A release note as operators write it.
+ *
+ * The expected release must be given: with it, publishing the same file again after a lost answer cannot take effect
+ * twice. The id is derived from the content when it is missing.
+ */
+@Serializable
+internal data class NoteFile(
+    val expectedPrevious: ReleaseNumber,
+    val changes: List<Change>,
+    val id: NoteId? = null,
+    val author: String? = null,
+) {
+    fun toNote(defaultAuthor: String): ReleaseNote {
+        val by = author ?: defaultAuthor
+        return ReleaseNote(id ?: derivedId(by), expectedPrevious, by, changes)
+    }
+
+    private fun derivedId(by: String): NoteId {
+        val text = CliJson.format.encodeToString(serializer(), copy(author = by))
+        val digest = MessageDigest.getInstance("SHA-256").digest(text.toByteArray())
+        return NoteId("note-" + digest.take(ID_BYTES).joinToString("") { "%02x".format(it) })
+    }
+
+    companion object {
+        private const val ID_BYTES = 16
+
+        /** Reads a note; the left side tells why the file is no note. */
+        fun read(path: Path, defaultAuthor: String): Either<String, ReleaseNote> =
+            Either.catch { Files.readString(path) }
+                .mapLeft { "$path cannot be read: ${it.javaClass.simpleName}" }
+                .flatMap { parse(it, defaultAuthor) }
+
+        fun parse(text: String, defaultAuthor: String): Either<String, ReleaseNote> =
+            Either.catch { CliJson.format.decodeFromString(serializer(), text).toNote(defaultAuthor) }
+                .mapLeft { "the file is no release note: ${it.message?.lineSequence()?.first()}" }
+    }
+}
--- /dev/null
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/ReleaseActions.kt
@@ -0,0 +1,81 @@
+package io.anvilvalve.cli
+
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.NoteId
+import io.anvilvalve.api.port.LogService
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.ReleaseNote
+import io.anvilvalve.rules.release.NoteValidator
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlin.time.Duration
+
+/** Commands that need the log only. */
+internal class ReleaseActions(private val log: LogService, private val timeout: Duration) {
+    /** Checks [note] against the release in force; nothing is published. */
+    suspend fun validate(note: ReleaseNote): Outcome = withLog { view ->
+        val faults = NoteValidator.validate(note, view.release, view.snapshot.withdrawnKeys)
+        if (faults.isEmpty()) {
+            Outcome.ok(listOf("note ${note.id} is valid for release ${view.release.number}") + warnings(note, view))
+        } else {
+            Publisher.rejected(note, faults, view)
+        }
+    }
+
+    /** Shows what [note] would change. */
+    suspend fun diff(note: ReleaseNote): Outcome = withLog { view ->
+        val lines = differences(note, view.release)
+        Outcome.ok(lines.ifEmpty { listOf("no difference") }, mapOf("differences" to strings(lines)))
+    }
+
+    suspend fun publish(note: ReleaseNote): Outcome = Publisher(log, timeout).publish(note)
+
+    /** Lists the last [limit] notes of the retained log. */
+    suspend fun history(limit: Int): Outcome = withLog { view ->
+        val last = view.history.takeLast(limit)
+        val lines = last.map {
+            val result = if (it.isAccepted) "release ${it.release}" else "rejected, ${it.faults.size} faults"
+            "${it.offset} ${it.note.id} by ${it.note.author}: ${it.note.changes.size} changes, $result"
+        }
+        Outcome.ok(
+            lines.ifEmpty {
+                listOf("the log has no notes")
+            },
+            mapOf("notes" to JsonArray(last.map(::decisionJson))),
+        )
+    }
+
+    /** States that [incarnation] has ended; a note of another operator in between leads to another attempt. */
+    suspend fun hostGone(incarnation: Incarnation, author: String): Outcome {
+        var outcome = publishGone(incarnation, author)
+        repeat(MAX_RACES) {
+            if (outcome.exit == ExitCode.OUTDATED) outcome = publishGone(incarnation, author)
+        }
+        return outcome
+    }
+
+    /** The note's id names incarnation and release, so a repeat after a lost answer is not published twice. */
+    private suspend fun publishGone(incarnation: Incarnation, author: String): Outcome {
+        val view = LogReader(log).read().fold({ return Outcome.logUnavailable(it) }, { it })
+        val change = Change.HostGone(incarnation)
+        view.history.firstOrNull { it.isAccepted && change in it.note.changes }?.let {
+            return Outcome.ok(listOf("$incarnation is gone since release ${it.release}"))
+        }
+        val id = NoteId("host-gone-${incarnation.value}-${view.release.number}")
+        return publish(ReleaseNote(id, view.release.number, author, listOf(change)))
+    }
+
+    private suspend fun withLog(use: (LogView) -> Outcome): Outcome =
+        LogReader(log).read().fold({ Outcome.logUnavailable(it) }, use)
+
+    private fun warnings(note: ReleaseNote, view: LogView): List<String> =
+        note.changes.filterIsInstance<Change.PutKey>()
+            .filter { it.key.hash in view.snapshot.withdrawnKeys }
+            .map { "warning: key ${it.key.hash} was withdrawn and stays withdrawn" }
+
+    private fun strings(lines: List<String>) = JsonArray(lines.map { JsonPrimitive(it) })
+
+    private companion object {
+        const val MAX_RACES = 5
+    }
+}
