--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.net
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import io.anvilvalve.api.port.BackendFault
@@ -41,16 +42,19 @@
     val call = client.newCall(request.newBuilder().tag(SentMarker::class.java, marker).build())
     coroutineScope {
         val watch = cancelWith(call)
-        try {
-            call.execute().use { emitTokens(it) }
-        } catch (e: IOException) {
-            currentCoroutineContext().ensureActive()
-            emit(e.toFault(marker.executed).left())
-        }
+        reading(marker) { call.execute() }.fold({ emit(it.left()) }, { response -> response.use { emitTokens(it) } })
         watch.cancel()
     }
 }
 
+/** Only reads are caught here: an exception of the collector must pass through the flow unchanged. */
+private suspend fun <T> reading(marker: SentMarker, read: () -> T): Either<BackendFault, T> = try {
+    read().right()
+} catch (e: IOException) {
+    currentCoroutineContext().ensureActive()
+    e.toFault(marker.executed).left()
+}
+
 /** A blocking read does not see that its coroutine is cancelled; a second coroutine closes the call instead. */
 private fun CoroutineScope.cancelWith(call: Call): Job = launch(Dispatchers.Default) {
     try {
@@ -62,21 +66,28 @@
 
 private suspend fun FlowCollector<Either<BackendFault, TokenChunk>>.emitTokens(response: Response) {
     if (response.code != SUCCESS) {
-        val source = response.body.source()
-        source.request(MAX_ERROR_BYTES)
-        val text = source.buffer.readUtf8(minOf(MAX_ERROR_BYTES, source.buffer.size))
-        return emit(statusFault(response.code, text).left())
+        return emit(statusFault(response.code, response.errorText()).left())
     }
+    val marker = SentMarker().apply { sent = true }
     val events = SseReader(response.body.source())
-    while (true) {
-        val data = events.next() ?: return
-        if (data == DONE) return
-        val chunk = parseChunk(data)
+    var last = false
+    while (!last) {
+        val data = reading(marker) { events.next() }
+        if (data.isRight { it == null || it == DONE }) return
+        val chunk = data.flatMap { parseChunk(it.orEmpty()) }
         emit(chunk)
-        if (chunk.isLeft() || chunk.getOrNull()?.finishReason != null) return
+        last = chunk.fold({ true }, { it.finishReason != null })
     }
 }
 
+private fun Response.errorText(): String = try {
+    val source = body.source()
+    source.request(MAX_ERROR_BYTES)
+    source.buffer.readUtf8(minOf(MAX_ERROR_BYTES, source.buffer.size))
+} catch (e: IOException) {
+    "unreadable error body: ${e.message}"
+}
+
 private fun parseChunk(data: String): Either<BackendFault, TokenChunk> = try {
     wireJson.decodeFromString(StreamEvent.serializer(), data).toChunk().right()
 } catch (e: IllegalArgumentException) {
--- /dev/null
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/IniDocument.kt
@@ -0,0 +1,74 @@
+package io.anvilvalve.settings
+
+import org.ini4j.Config
+import org.ini4j.Ini
+import java.io.IOException
+import java.io.StringReader
+
+/** Value of a setting and the line that it is on. */
+internal class IniEntry(val section: String, val key: String, val value: String, val line: Int?)
+
+/** A parsed INI file: its entries, the lines of its section headers and faults of its form. */
+internal class IniDocument(
+    val entries: List<IniEntry>,
+    val sections: Map<String, Int>,
+    val faults: List<SettingsFault>,
+) {
+    companion object {
+        private val header = Regex("""\[\s*([^]]*?)\s*]""")
+        private val option = Regex("""([^=:]*?)\s*[=:].*""")
+
+        /** Parses [text] with ini4j, which reports no line numbers; they come from a scan of the lines. */
+        fun parse(text: String): IniDocument {
+            val lines = scan(text)
+            val ini = try {
+                Ini().apply { config = iniConfig() }.also { it.load(StringReader(text)) }
+            } catch (e: IOException) {
+                return IniDocument(emptyList(), emptyMap(), listOf(malformed(text, e)))
+            }
+            val entries = ini.flatMap { (section, options) ->
+                options.map { (key, value) -> IniEntry(section, key, value.orEmpty(), lines.options[section to key]) }
+            }
+            return IniDocument(entries, lines.sections, lines.faults)
+        }
+
+        private fun iniConfig() = Config().apply {
+            isEscape = false
+            isEmptyOption = true
+            isMultiOption = false
+            isMultiSection = false
+        }
+
+        private fun malformed(text: String, e: IOException): SettingsFault {
+            val line = text.lines().indexOfFirst { it.isNotBlank() && it.trim() in e.message.orEmpty() }
+            return SettingsFault("file", null, (line + 1).takeIf { it > 0 }, "is no INI file: ${e.message}")
+        }
+
+        private fun scan(text: String): Lines {
+            val lines = Lines()
+            text.lines().forEachIndexed { i, raw -> lines.add(i + 1, raw.trim()) }
+            return lines
+        }
+
+        private class Lines {
+            val sections = mutableMapOf<String, Int>()
+            val options = mutableMapOf<Pair<String, String>, Int>()
+            val faults = mutableListOf<SettingsFault>()
+            private var section = ""
+
+            fun add(number: Int, line: String) {
+                if (line.isEmpty() || line.startsWith("#") || line.startsWith(";")) return
+                val name = header.matchEntire(line)?.groupValues?.get(1)
+                if (name != null) {
+                    section = name
+                    val first = sections.putIfAbsent(name, number) ?: return
+                    faults += SettingsFault(name, null, number, "section is given twice, first on line $first")
+                    return
+                }
+                val key = option.matchEntire(line)?.groupValues?.get(1)?.trim() ?: line
+                val first = options.putIfAbsent(section to key, number) ?: return
+                faults += SettingsFault(section, key, number, "is given twice, first on line $first")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/LogFormat.kt
@@ -0,0 +1,7 @@
+package io.anvilvalve.settings
+
+/** Form of log lines. */
+enum class LogFormat {
+    PLAIN,
+    JSON,
+}
--- /dev/null
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/SettingsCollector.kt
@@ -0,0 +1,145 @@
+package io.anvilvalve.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import java.net.URI
+import java.nio.file.Files
+import java.nio.file.InvalidPathException
+import java.nio.file.Path
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Reads typed settings of [document] and collects every fault, so that one start reports all of them.
+ *
+ * A setting without a default is required. Every key that is read counts as known; [finish] refuses the others.
+ *
+ * @param directory directory that relative file names start from.
+ */
+internal class SettingsCollector(private val document: IniDocument, private val directory: Path) {
+    private val entries = document.entries.associateBy { it.section to it.key }
+    private val known = mutableSetOf<Pair<String, String>>()
+    private val faults = document.faults.toMutableList()
+
+    fun name(section: String, key: String): String =
+        read(section, key, "a name of 1 to 63 letters, digits, '.', '_' and '-'", "") {
+            it.takeIf(namePattern::matches)
+        }
+            .orEmpty()
+
+    fun text(section: String, key: String, default: String): String =
+        read(section, key, "a text of 1 to 200 characters", default) { v -> v.takeIf { it.length in 1..MAX_TEXT } }!!
+
+    fun int(section: String, key: String, default: Int, range: IntRange): Int =
+        read(section, key, "a whole number from ${range.first} to ${range.last}", default) { value ->
+            value.toIntOrNull()?.takeIf { it in range }
+        }!!
+
+    fun port(section: String, key: String, default: Int): Int = int(section, key, default, 0..MAX_PORT)
+
+    fun millis(section: String, key: String, default: Duration, range: LongRange): Duration =
+        whole(section, key, "milliseconds", default.inWholeMilliseconds, range).milliseconds
+
+    fun seconds(section: String, key: String, default: Duration, range: LongRange): Duration =
+        whole(section, key, "seconds", default.inWholeSeconds, range).seconds
+
+    fun address(section: String, key: String, default: String?): String =
+        read(section, key, "an IP number", default ?: "", required = default == null) { it.takeIf(::isIpNumber) }!!
+
+    fun addresses(section: String, key: String): List<String> =
+        read(section, key, "a comma-separated list of IP number and port", emptyList()) { value ->
+            value.split(",").map { it.trim() }.takeIf { list -> list.all(::isIpAndPort) }
+        }!!
+
+    fun url(section: String, key: String): String =
+        read(section, key, "an http or https URL with host", "", required = true) { it.takeIf(::isHttpUrl) }!!
+
+    fun <E : Enum<E>> choice(section: String, key: String, default: E, options: List<E>): E {
+        val allowed = "one of " + options.joinToString { it.name.lowercase() }
+        return read(section, key, allowed, default) { v -> options.find { it.name.lowercase() == v } }!!
+    }
+
+    /** A readable file whose content has at least [minBytes] bytes without surrounding white space. */
+    fun secretFile(section: String, key: String, minBytes: Int): Path = read(
+        section,
+        key,
+        "a readable file with at least $minBytes characters",
+        Path.of(""),
+        required = true,
+    ) { value ->
+        resolve(value)?.takeIf { Files.isReadable(it) && !Files.isDirectory(it) && secretLength(it) >= minBytes }
+    }!!
+
+    /** Returns [settings], or every fault when there is one. */
+    fun <T> finish(settings: T): Either<List<SettingsFault>, T> {
+        val knownSections = known.map { it.first }.toSet()
+        document.sections.filterKeys { it !in knownSections }.forEach { (section, line) ->
+            faults += SettingsFault(section, null, line, "unknown section; allowed: ${knownSections.joinToString()}")
+        }
+        document.entries.filter { it.section in knownSections && it.section to it.key !in known }.forEach { entry ->
+            val keys = known.filter { it.first == entry.section }.joinToString { it.second }
+            faults += SettingsFault(entry.section, entry.key, entry.line, "unknown key; allowed: $keys")
+        }
+        return if (faults.isEmpty()) settings.right() else faults.sortedBy { it.line ?: Int.MAX_VALUE }.left()
+    }
+
+    private fun whole(section: String, key: String, unit: String, default: Long, range: LongRange): Long =
+        read(section, key, "$unit from ${range.first} to ${range.last}", default) { value ->
+            value.toLongOrNull()?.takeIf { it in range }
+        }!!
+
+    private fun <T> read(
+        section: String,
+        key: String,
+        allowed: String,
+        default: T,
+        required: Boolean = default == "",
+        parse: (String) -> T?,
+    ): T? {
+        known += section to key
+        val entry = entries[section to key]
+        if (entry == null) {
+            if (required) faults += SettingsFault(section, key, null, "is missing; allowed: $allowed")
+            return default
+        }
+        val parsed = parse(entry.value)
+        if (parsed == null) faults += SettingsFault(section, key, entry.line, "'${entry.value}' is not $allowed")
+        return parsed ?: default
+    }
+
+    private fun resolve(value: String): Path? = try {
+        directory.resolve(value).takeIf { value.isNotEmpty() }
+    } catch (_: InvalidPathException) {
+        null
+    }
+
+    private fun secretLength(path: Path): Int = Files.readString(path).trim().length
+
+    private companion object {
+        const val MAX_TEXT = 200
+        const val MAX_PORT = 65_535
+        const val MAX_BYTE = 255
+        val namePattern = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+        val ipv6Pattern = Regex("[0-9a-fA-F:]*:[0-9a-fA-F:.]*")
+
+        /** Host names are refused because the platform is addressed by IP number and a name lookup can stall a start. */
+        fun isIpNumber(value: String): Boolean {
+            val parts = value.split(".")
+            val ipv4 = parts.size == 4 && parts.all { part -> part.toIntOrNull()?.let { it in 0..MAX_BYTE } == true }
+            return ipv4 || ipv6Pattern.matches(value)
+        }
+
+        fun isIpAndPort(value: String): Boolean {
+            val port = value.substringAfterLast(":", "").toIntOrNull() ?: return false
+            return port in 1..MAX_PORT && isIpNumber(value.substringBeforeLast(":").removeSurrounding("[", "]"))
+        }
+
+        fun isHttpUrl(value: String): Boolean = try {
+            URI(value).let { it.scheme in setOf("http", "https") && it.host != null }
+        } catch (_: java.net.URISyntaxException) {
+            false
+        }
+    }
+}
