Add the embeddable entry host with the callers' and operators' APIs

Cause: the demo and the daemon need a host that serves requests against the ports. Change: EntryHost runs the event loop, performs all effects, and relays streamed and collected answers on the caller's thread through StreamCursor. Operators' endpoints, metrics and numbered log lines are in place.

--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Answer.kt
@@ -0,0 +1,114 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.port.TokenChunk
+import io.anvilvalve.api.result.ResultCode
+import jakarta.servlet.http.HttpServletResponse
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Texts of one answer in the form of the endpoint that the caller used. */
+internal class AnswerForm(private val chat: Boolean, id: String, model: String, created: Long, val promptTokens: Int) {
+    private val kind = if (chat) "chat.completion" else "text_completion"
+    private val prefix = if (chat) "chatcmpl-" else "cmpl-"
+    private val chunkKind = if (chat) "chat.completion.chunk" else kind
+    private val tail = ""","created":$created,"model":${model.quoted()},"""
+    private val head = """{"id":${(prefix + id).quoted()},"object":"""
+    private val chunkHead = "data: $head\"$chunkKind\"$tail"
+
+    fun event(chunk: TokenChunk, first: Boolean): String {
+        val text = chunk.text.quoted()
+        val role = if (first) """"role":"assistant",""" else ""
+        val content = if (chat) """"delta":{$role"content":$text}""" else """"text":$text"""
+        return """$chunkHead"choices":[${choice(content, chunk.finishReason)}]}$EVENT_END"""
+    }
+
+    fun usageEvent(tokens: Int): String = """$chunkHead"choices":[],${usage(tokens)}}$EVENT_END"""
+
+    fun whole(text: String, finishReason: String?, tokens: Int): String {
+        val quoted = text.quoted()
+        val content = if (chat) """"message":{"role":"assistant","content":$quoted}""" else """"text":$quoted"""
+        return """$head"$kind"$tail"choices":[${choice(content, finishReason)}],${usage(tokens)}}"""
+    }
+
+    private fun choice(content: String, finishReason: String?): String =
+        """{"index":0,$content,"finish_reason":${finishReason.quoted()}}"""
+
+    private fun usage(tokens: Int): String =
+        """"usage":{"prompt_tokens":$promptTokens,"completion_tokens":$tokens,"total_tokens":${promptTokens + tokens}}"""
+
+    private fun String?.quoted(): String = if (this == null) "null" else JsonPrimitive(this).toString()
+
+    private companion object {
+        const val EVENT_END = "\n\n"
+    }
+}
+
+/** Where the tokens of one answer go; used by the thread of the request only. */
+internal interface Answer {
+    /** Adds the next token. */
+    fun token(chunk: TokenChunk)
+
+    /** Ends the answer as whole. */
+    fun finish()
+
+    /** Ends the answer with an error. */
+    fun fail(code: ResultCode, retryAfterMillis: Long = 0)
+}
+
+/** Writes each token as a server-sent event; the status is decided by the first token or error. */
+internal class StreamedAnswer(
+    private val response: HttpServletResponse,
+    private val form: AnswerForm,
+    private val includeUsage: Boolean,
+) : Answer {
+    private var tokens = 0
+
+    override fun token(chunk: TokenChunk) {
+        if (tokens == 0) begin()
+        write(form.event(chunk, first = tokens == 0))
+        tokens++
+    }
+
+    override fun finish() {
+        if (tokens == 0) begin()
+        if (includeUsage) write(form.usageEvent(tokens))
+        write("data: [DONE]\n\n")
+    }
+
+    override fun fail(code: ResultCode, retryAfterMillis: Long) {
+        if (tokens == 0) {
+            response.sendError(code, retryAfterMillis = retryAfterMillis)
+        } else {
+            write("data: ${code.errorBody()}\n\n")
+        }
+    }
+
+    private fun begin() {
+        response.status = HttpServletResponse.SC_OK
+        response.contentType = "text/event-stream"
+        response.setHeader("Cache-Control", "no-cache")
+    }
+
+    private fun write(event: String) {
+        response.outputStream.write(event.toByteArray())
+        response.outputStream.flush()
+    }
+}
+
+/** Collects the tokens and sends them as one JSON body. */
+internal class CollectedAnswer(private val response: HttpServletResponse, private val form: AnswerForm) : Answer {
+    private val text = StringBuilder()
+    private var tokens = 0
+    private var finishReason: String? = null
+
+    override fun token(chunk: TokenChunk) {
+        text.append(chunk.text)
+        tokens++
+        finishReason = chunk.finishReason
+    }
+
+    override fun finish() =
+        response.sendBody("application/json", form.whole(text.toString(), finishReason, tokens).toByteArray())
+
+    override fun fail(code: ResultCode, retryAfterMillis: Long) =
+        response.sendError(code, retryAfterMillis = retryAfterMillis)
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerHeaders.kt
@@ -0,0 +1,64 @@
+package io.anvilvalve.host
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.result.ResultCode
+import jakarta.servlet.http.HttpServletRequest
+
+/** Checked headers of a caller; the key is hashed at once and kept nowhere else. */
+internal class CallerHeaders(val key: KeyHash?, val workClass: WorkClass?, val idempotencyKey: String?) {
+    companion object {
+        private const val MAX_KEY = 512
+        private const val MAX_IDEMPOTENCY_KEY = 255
+        private const val BEARER = "Bearer "
+        private val single = listOf(
+            "Authorization",
+            "Idempotency-Key",
+            "X-Work-Class",
+            "Content-Type",
+            "Content-Length",
+            "Content-Encoding",
+            "Transfer-Encoding",
+            "Host",
+        )
+        private val visible = '!'..'~'
+
+        /** Reads the headers of [request]; a header given twice is refused, because the two readers may differ. */
+        fun of(request: HttpServletRequest): Either<Rejection, CallerHeaders> = either {
+            single.forEach { name ->
+                ensure(request.getHeaders(name).asSequence().count() <= 1) { malformed("$name is given twice.") }
+            }
+            ensure(request.getHeader("Content-Encoding") == null) { malformed("Content-Encoding is not supported.") }
+            val keyText = request.getHeader("Idempotency-Key")
+            ensure(keyText == null || isVisible(keyText, MAX_IDEMPOTENCY_KEY)) {
+                malformed("Idempotency-Key must be 1 to $MAX_IDEMPOTENCY_KEY visible ASCII characters.")
+            }
+            CallerHeaders(key(request).bind(), workClass(request.getHeader("X-Work-Class")).bind(), keyText)
+        }
+
+        private fun key(request: HttpServletRequest): Either<Rejection, KeyHash?> = either {
+            val header = request.getHeader("Authorization") ?: return@either null
+            ensure(header.startsWith(BEARER, ignoreCase = true)) {
+                Rejection(ResultCode.KEY_MISSING, "Authorization must be a bearer key.")
+            }
+            val key = header.substring(BEARER.length).trim()
+            ensure(isVisible(key, MAX_KEY)) {
+                Rejection(ResultCode.KEY_MISSING, "The key must be 1 to $MAX_KEY visible ASCII characters.")
+            }
+            KeyHash.of(key)
+        }
+
+        private fun workClass(value: String?): Either<Rejection, WorkClass?> = either {
+            val workClass = WorkClass.entries.find { it.name.equals(value, ignoreCase = true) }
+            ensure(value == null || workClass != null) { malformed("X-Work-Class must be interactive or batch.") }
+            workClass
+        }
+
+        private fun isVisible(text: String, limit: Int) = text.length in 1..limit && text.all { it in visible }
+
+        private fun malformed(detail: String) = Rejection(ResultCode.MALFORMED_REQUEST, detail)
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerRequest.kt
@@ -0,0 +1,49 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.core.HostEffect
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * A caller's request that is open on this host.
+ *
+ * The thread of the request takes [steps] and works on them; the effect runner and the caller watch hand them over and
+ * may stop attempts from their own threads, because the thread of the request blocks while it relays tokens.
+ */
+internal class CallerRequest(val id: RequestId) {
+    /** Work for the thread of the request; null ends it without an answer. */
+    val steps = Channel<HostEffect?>(Channel.UNLIMITED)
+
+    private val attempts = ConcurrentHashMap<Int, Job>()
+    private val stopped = ConcurrentHashMap.newKeySet<Int>()
+
+    @Volatile
+    private var ended = false
+
+    /** Hands over a step that starts work. */
+    fun start(step: HostEffect) {
+        steps.trySend(step)
+    }
+
+    /** Hands over the last step and stops whatever still runs. */
+    fun end(step: HostEffect?) {
+        ended = true
+        steps.trySend(step)
+        attempts.values.forEach { it.cancel(CancellationException("the request ended")) }
+    }
+
+    /** Stops [attempt]; it does not start later either. */
+    fun stop(attempt: Int) {
+        stopped += attempt
+        attempts[attempt]?.cancel(CancellationException("the attempt was stopped"))
+    }
+
+    /** Makes the lazily started [job] of [attempt] stoppable and starts it unless it was stopped before. */
+    fun run(attempt: Int, job: Job) {
+        attempts[attempt] = job
+        if (ended || attempt in stopped) job.cancel() else job.start()
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
@@ -0,0 +1,90 @@
+package io.anvilvalve.host
+
+import jakarta.servlet.http.HttpServletRequest
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest
+import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.util.BufferUtil
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import kotlin.time.ComparableTimeMark
+
+/**
+ * Notices callers that close their connection while their request waits or runs.
+ *
+ * An HTTP server does not read from a connection while it handles a request, so it sees no close. The watch reads from
+ * the connection of every open request without blocking. A byte of a next request must not arrive before the answer has
+ * ended; it is dropped, and the connection is closed after the answer. A caller that closes only its sending side
+ * counts as gone.
+ */
+internal class CallerWatch : AutoCloseable {
+    private val open = ConcurrentHashMap.newKeySet<Entry>()
+    private val timer = Executors.newSingleThreadScheduledExecutor {
+        Thread(it, "caller-watch").apply { isDaemon = true }
+    }
+
+    fun start() {
+        timer.scheduleWithFixedDelay(::check, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Watches the connection of [request], whose body has been read, until the entry is closed. */
+    fun watch(request: HttpServletRequest, deadline: ComparableTimeMark, gone: () -> Unit): Entry {
+        val connection = ServletContextRequest.getServletContextRequest(request).connectionMetaData.connection
+        return Entry(connection.endPoint, deadline, gone).also { open += it }
+    }
+
+    override fun close() {
+        timer.shutdownNow()
+    }
+
+    private fun check() = open.forEach { it.check() }
+
+    /** One watched connection. */
+    inner class Entry(
+        private val endPoint: EndPoint,
+        private val deadline: ComparableTimeMark,
+        private val gone: () -> Unit,
+    ) : AutoCloseable {
+        private val buffer = BufferUtil.allocate(1)
+        private var closed = false
+
+        /** Whether bytes of a next request were dropped. */
+        @Volatile
+        var pipelined: Boolean = false
+            private set
+
+        @Synchronized
+        internal fun check() {
+            if (closed) return
+            if (deadline.hasPassedNow() || (!pipelined && isGone())) {
+                close()
+                gone()
+            }
+        }
+
+        private fun isGone(): Boolean = try {
+            val count = endPoint.fill(buffer)
+            if (count > 0) pipelined = true
+            count < 0
+        } catch (_: IOException) {
+            true
+        }
+
+        /** Ends the watch; the server reads from the connection again afterwards. */
+        @Synchronized
+        override fun close() {
+            closed = true
+            open -= this
+        }
+
+        /** Closes a connection whose next request was cut. */
+        fun closeConnectionIfCut() {
+            if (pipelined) endPoint.close()
+        }
+    }
+
+    private companion object {
+        const val INTERVAL_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallersApi.kt
@@ -0,0 +1,136 @@
+package io.anvilvalve.host
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import io.anvilvalve.api.id.AdapterId
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.id.RouteId
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.port.BackendServerClient
+import io.anvilvalve.api.port.ServiceCall
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.core.HostEvent
+import io.anvilvalve.core.ModelRequest
+import io.anvilvalve.core.ServiceRequest
+import io.anvilvalve.settings.HostSettings
+import jakarta.servlet.http.HttpServletRequest
+import jakarta.servlet.http.HttpServletResponse
+import java.security.MessageDigest
+import java.time.Clock
+import kotlin.time.TimeSource
+
+/** Handlers of the callers' API; each runs on the thread of its request until the answer has ended. */
+internal class CallersApi(
+    private val settings: HostSettings.Callers,
+    private val table: RequestTable,
+    private val backends: BackendServerClient,
+    private val watch: CallerWatch,
+    private val time: TimeSource.WithComparableMarks,
+    private val clock: Clock,
+    private val post: (HostEvent) -> Unit,
+) {
+    private val bodies = BodyReader(settings.maxBodyBytes, settings.bodyTimeout, time)
+
+    fun completion(request: HttpServletRequest, response: HttpServletResponse, chat: Boolean) {
+        val arrived = either {
+            val headers = CallerHeaders.of(request).bind()
+            ensure(headers.key != null) { Rejection(ResultCode.KEY_MISSING) }
+            headers to parse(bodies.readText(request).bind(), chat).bind()
+        }
+        arrived.fold({ response.reject(it) }, { (headers, body) -> run(request, response, headers, body, chat) })
+    }
+
+    fun service(request: HttpServletRequest, response: HttpServletResponse, route: String) {
+        val arrived = either {
+            val headers = CallerHeaders.of(request).bind()
+            headers to bodies.read(request).bind()
+        }
+        arrived.fold({ response.reject(it) }, { (headers, body) -> call(request, response, headers, body, route) })
+    }
+
+    private fun parse(text: String, chat: Boolean): Either<Rejection, CompletionRequest> = if (chat) {
+        CompletionRequest.ofChat(text, settings.defaultMaxTokens)
+    } else {
+        CompletionRequest.ofCompletion(text, settings.defaultMaxTokens)
+    }
+
+    private fun run(
+        request: HttpServletRequest,
+        response: HttpServletResponse,
+        headers: CallerHeaders,
+        body: CompletionRequest,
+        chat: Boolean,
+    ) = opened(request, response) { caller ->
+        val model = modelRequest(caller.id, headers, body)
+        val created = clock.instant().epochSecond
+        val form = AnswerForm(chat, caller.id.value, body.model, created, model.promptTokens)
+        val answer =
+            if (body.stream) StreamedAnswer(response, form, body.includeUsage) else CollectedAnswer(response, form)
+        ModelExchange(caller, model, body.prompt, answer, backends, post).run()
+    }
+
+    private fun modelRequest(id: RequestId, headers: CallerHeaders, body: CompletionRequest): ModelRequest {
+        val promptTokens = PromptMeasures.tokens(body.prompt)
+        val byLength = if (promptTokens >= settings.batchPromptTokens) WorkClass.BATCH else WorkClass.INTERACTIVE
+        return ModelRequest(
+            id,
+            headers.key,
+            ModelId(body.model),
+            promptTokens,
+            body.maxTokens,
+            headers.workClass ?: byLength,
+            body.adapter?.let(::AdapterId),
+            PromptMeasures.prefixHashes(body.prompt),
+        )
+    }
+
+    private fun call(
+        request: HttpServletRequest,
+        response: HttpServletResponse,
+        headers: CallerHeaders,
+        body: ByteArray,
+        route: String,
+    ) = opened(request, response) { caller ->
+        val query = request.queryString?.let { "?$it" }.orEmpty()
+        val path = request.requestURI.removePrefix("/svc/").substringAfter("/", "").let { "/$it$query" }
+        val digest = digest(request.method, path, body)
+        val arrived = ServiceRequest(caller.id, headers.key, RouteId(route), headers.idempotencyKey, digest)
+        val call = ServiceCall(caller.id, request.method, path, request.contentType, body, headers.idempotencyKey)
+        ServiceExchange(caller, arrived, call, response, backends, post).run()
+    }
+
+    /** Runs [work] with an entry in the table and a watch on the caller's connection. */
+    private fun opened(request: HttpServletRequest, response: HttpServletResponse, work: (CallerRequest) -> Unit) {
+        val caller = table.open(settings.maxRequests)
+        if (caller == null) {
+            response.sendError(ResultCode.NO_BACKEND_SERVER, "This host has no free request slot.")
+            return
+        }
+        val entry = watch.watch(request, time.markNow() + settings.requestTimeout) {
+            post(HostEvent.CallerGone(caller.id))
+            caller.end(null)
+        }
+        try {
+            response.setHeader("X-Request-Id", caller.id.value)
+            work(caller)
+        } finally {
+            entry.close()
+            table.close(caller)
+        }
+        entry.closeConnectionIfCut()
+    }
+
+    private fun digest(method: String, path: String, body: ByteArray): String {
+        val sha = MessageDigest.getInstance("SHA-256")
+        sha.update("$method\n$path\n".toByteArray())
+        return sha.digest(body).joinToString("") { "%02x".format(it) }
+    }
+
+    private fun HttpServletResponse.reject(rejection: Rejection) {
+        // The rest of the body was not read, so the connection cannot carry another request.
+        setHeader("Connection", "close")
+        sendError(rejection.code, rejection.detail)
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
@@ -0,0 +1,195 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.port.BackendServerClient
+import io.anvilvalve.api.port.LiveHostList
+import io.anvilvalve.api.port.LogService
+import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.core.HostConfig
+import io.anvilvalve.core.HostEffect
+import io.anvilvalve.core.HostEvent
+import io.anvilvalve.core.HostStatus
+import io.anvilvalve.net.PeerTransport
+import io.anvilvalve.settings.HostSettings
+import io.javalin.Javalin
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import java.nio.file.Files
+import java.time.Clock
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * One entry host: listeners, the event loop and the performers of its effects. Several can run in one process.
+ *
+ * @param reducer creates the rules once the peer port is bound.
+ * @param time monotonic time, which the rules see as time since the start.
+ * @param clock wall clock, used in answers, log lines and for the age of idempotency keys.
+ */
+class EntryHost(
+    private val settings: HostSettings,
+    private val log: LogService,
+    private val liveList: LiveHostList,
+    private val backends: BackendServerClient,
+    private val peers: PeerTransport,
+    private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val clock: Clock = Clock.systemUTC(),
+    private val reducer: (HostConfig) -> Reducer<HostEvent, HostEffect>,
+) : AutoCloseable {
+    /** Identity of this start of the host. */
+    val incarnation = Incarnation("%s-%x-%04x".format(settings.host.id, clock.millis(), Random.nextInt(MAX_SUFFIX)))
+
+    private val state = HostState(initialStatus())
+    private val table = RequestTable(incarnation)
+    private val events = EventLog(settings.host.id, settings.output.format, clock)
+    private val metrics = HostMetrics(state) { table.count }
+    private val watch = CallerWatch()
+    private val scope = CoroutineScope(
+        SupervisorJob() + Dispatchers.IO + CoroutineExceptionHandler { _, e -> events.error(e) },
+    )
+    private lateinit var loop: HostLoop
+    private lateinit var callers: Javalin
+    private lateinit var operators: Javalin
+
+    /** Bound port of the callers' API. */
+    val callerPort: Int get() = callers.port()
+
+    /** Bound port of the operators' API. */
+    val operatorPort: Int get() = operators.port()
+
+    /** Bound port of the peer protocol. */
+    var peerPort: Int = 0
+        private set
+
+    /** What operators see of the host. */
+    val status: HostStatus get() = state.status
+
+    /** Whether the host takes new requests. */
+    val isReady: Boolean get() = state.acceptsTraffic
+
+    /** Completed when the process may exit; the value is false when the host was removed by its peers. */
+    val exit: CompletableFuture<Boolean> get() = state.exit
+
+    /** Binds the listeners and starts the loop. */
+    fun start() {
+        val start = time.markNow()
+        peerPort = peers.start { frame -> loop.offer(HostEvent.FrameReceived(frame), MAX_WAITING_FRAMES) }
+        lateinit var runner: EffectRunner
+        loop = HostLoop(reducer(config()), start, { runner.perform(it) }, events::error)
+        val watcher = ServerWatcher(scope, backends, settings.engines.loadPoll, loop::post)
+        runner = EffectRunner(ports(), scope, watcher, loop::now, loop::post)
+        runner.start()
+        loop.start()
+        watch.start()
+        startListeners()
+        scope.launch { tick() }
+        scope.launch { pollLiveList() }
+        events.write(LogEvent.DAEMON_STARTED, mapOf("callers" to "$callerPort", "operators" to "$operatorPort"))
+    }
+
+    /** Turns readiness off and asks the rules for a planned stop; [exit] completes when it has finished. */
+    fun drain(deadline: Duration = settings.operators.drainDeadline) {
+        state.draining = true
+        loop.post(HostEvent.DrainRequested(deadline))
+    }
+
+    /** Stops at once; open requests end with closed connections. */
+    override fun close() {
+        state.draining = true
+        callers.stop()
+        operators.stop()
+        watch.close()
+        loop.stop()
+        scope.cancel()
+        peers.close()
+        events.write(LogEvent.DAEMON_STOPPED)
+    }
+
+    private fun startListeners() {
+        val info = InfoApi(state, metrics)
+        val callersApi = CallersApi(settings.callers, table, backends, watch, time, clock, loop::post)
+        callers = callersListener(settings.callers, callersApi, info, events).start()
+        val bodies = BodyReader(MAX_OPERATOR_BODY, settings.callers.bodyTimeout, time)
+        val token = Files.readString(settings.operators.tokenFile).trim()
+        val operatorsApi = OperatorsApi(token, state, bodies, { table.count }, ::withdraw, ::drain)
+        operators =
+            operatorsListener(settings.operators, settings.callers.idleTimeout, operatorsApi, info, events).start()
+    }
+
+    private fun withdraw(hash: KeyHash) {
+        loop.process(HostEvent.KeyWithdrawn(hash)).get(WITHDRAW_SECONDS, TimeUnit.SECONDS)
+    }
+
+    private fun ports() = EffectPorts(log, backends, peers, table::get, events, metrics, state)
+
+    private fun config() = HostConfig(
+        Member(
+            HostId(settings.host.id),
+            incarnation,
+            "${settings.host.address}:$peerPort",
+            DataCentreId(settings.host.dataCentre),
+            RegionId(settings.host.region),
+        ),
+        seed = incarnation.value.hashCode().toLong(),
+        limitSlots = settings.peers.limitSlots,
+    )
+
+    private suspend fun CoroutineScope.tick() {
+        while (isActive) {
+            loop.post(HostEvent.Tick(clock.millis()))
+            delay(TICK)
+        }
+    }
+
+    private suspend fun CoroutineScope.pollLiveList() {
+        while (isActive) {
+            liveList.hosts().onRight { loop.post(HostEvent.LiveListRead(it)) }
+            delay(LIVE_LIST_POLL)
+        }
+    }
+
+    private fun initialStatus() = HostStatus(
+        HostId(settings.host.id),
+        incarnation,
+        ReleaseNumber(0),
+        LogOffset(-1),
+        current = false,
+        ready = false,
+        draining = false,
+        members = emptyList(),
+        models = emptyList(),
+        running = 0,
+    )
+
+    private companion object {
+        const val MAX_SUFFIX = 0x10000
+        const val MAX_WAITING_FRAMES = 10_000
+        const val WITHDRAW_SECONDS = 5L
+        const val MAX_OPERATOR_BODY = 4_096
+
+        /** Interval that the contract of [HostEvent.Tick] states. */
+        val TICK = 50.milliseconds
+
+        /** A leaving backend server has to be heard of within the 8 s of freshness. */
+        val LIVE_LIST_POLL = 2.seconds
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ErrorBody.kt
@@ -0,0 +1,42 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.result.ResultCode
+import jakarta.servlet.http.HttpServletResponse
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+
+private const val MILLIS_PER_SECOND = 1_000
+private const val TOO_MANY_REQUESTS = 429
+private const val UNAVAILABLE = 503
+
+/** Error body of the callers' API. */
+internal fun ResultCode.errorBody(detail: String? = null): String = buildJsonObject {
+    putJsonObject("error") {
+        put("code", code)
+        put("message", if (detail == null) meaning else "$meaning $detail")
+        put("executed", executed.name.lowercase())
+    }
+}.toString()
+
+/** Answers with an error before anything else was sent. */
+internal fun HttpServletResponse.sendError(
+    code: ResultCode,
+    detail: String? = null,
+    retryAfterMillis: Long = 0,
+    status: Int = code.httpStatus,
+) {
+    this.status = status
+    if (status == TOO_MANY_REQUESTS || status == UNAVAILABLE) {
+        val seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
+        setHeader("Retry-After", maxOf(1, seconds).toString())
+    }
+    sendBody("application/json", code.errorBody(detail).toByteArray())
+}
+
+internal fun HttpServletResponse.sendBody(contentType: String, bytes: ByteArray) {
+    this.contentType = contentType
+    setContentLength(bytes.size)
+    outputStream.write(bytes)
+    outputStream.flush()
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/HostLoop.kt
@@ -0,0 +1,66 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.core.HostEffect
+import io.anvilvalve.core.HostEvent
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.LinkedBlockingQueue
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+
+/**
+ * The one queue of events and the one thread that reduces them and performs the effects in order.
+ *
+ * @param onError told of exceptions; the loop goes on, because an event that stopped every host would stop the fleet.
+ */
+internal class HostLoop(
+    private val reducer: Reducer<HostEvent, HostEffect>,
+    private val start: ComparableTimeMark,
+    private val perform: (HostEffect) -> Unit,
+    private val onError: (Throwable) -> Unit,
+) {
+    private val queue = LinkedBlockingQueue<Item>()
+    private val thread = Thread(::run, "host-loop").apply { isDaemon = true }
+
+    /** Monotonic time since process start. */
+    fun now(): Duration = start.elapsedNow()
+
+    /** Queues [event]; never blocks. */
+    fun post(event: HostEvent) {
+        queue.add(Item(event))
+    }
+
+    /** Queues [event]; the future completes when its effects have been performed. */
+    fun process(event: HostEvent): CompletableFuture<Unit> = Item(event, CompletableFuture()).also(queue::add).done!!
+
+    /** Queues [event] unless [limit] events wait; for events that may be lost. */
+    fun offer(event: HostEvent, limit: Int): Boolean = queue.size < limit && queue.add(Item(event))
+
+    fun start() = thread.start()
+
+    fun stop() {
+        thread.interrupt()
+        if (Thread.currentThread() !== thread) thread.join()
+    }
+
+    private fun run() {
+        try {
+            while (true) step(queue.take())
+        } catch (_: InterruptedException) {
+            return
+        }
+    }
+
+    @Suppress("TooGenericExceptionCaught")
+    private fun step(item: Item) {
+        try {
+            reducer.reduce(item.event, now()).forEach(perform)
+        } catch (e: Exception) {
+            if (e is InterruptedException) throw e
+            onError(e)
+        }
+        item.done?.complete(Unit)
+    }
+
+    private class Item(val event: HostEvent, val done: CompletableFuture<Unit>? = null)
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
@@ -0,0 +1,83 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.settings.HostSettings
+import io.javalin.Javalin
+import io.javalin.compression.CompressionStrategy
+import io.javalin.config.JavalinConfig
+import io.javalin.http.HandlerType
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import kotlin.time.Duration
+
+private const val SPARE_THREADS = 32
+private const val MIN_THREADS = 8
+private const val REQUEST_HEADER_BYTES = 16 * 1024
+private const val OPERATOR_THREADS = 16
+private val serviceMethods =
+    listOf(HandlerType.GET, HandlerType.POST, HandlerType.PUT, HandlerType.PATCH, HandlerType.DELETE)
+
+/** Builds the callers' listener; one thread per open request, and some for short calls. */
+internal fun callersListener(settings: HostSettings.Callers, api: CallersApi, info: InfoApi, log: EventLog): Javalin =
+    Javalin.create { config ->
+        config.listen(settings.address, settings.port, settings.maxRequests + SPARE_THREADS, settings.idleTimeout, log)
+        config.routes.post("/v1/chat/completions") { api.completion(it.req(), it.res(), chat = true) }
+        config.routes.post("/v1/completions") { api.completion(it.req(), it.res(), chat = false) }
+        config.routes.get("/v1/models") { info.models(it.res()) }
+        config.routes.get("/healthz") { info.health(it.res()) }
+        config.routes.get("/readyz") { info.ready(it.res()) }
+        config.routes.get("/metrics") { info.metrics(it.res()) }
+        serviceMethods.forEach { method ->
+            config.routes.addHttpHandler(method, "/svc/{route}") {
+                api.service(it.req(), it.res(), it.pathParam("route"))
+            }
+            config.routes.addHttpHandler(method, "/svc/{route}/<path>") {
+                api.service(it.req(), it.res(), it.pathParam("route"))
+            }
+        }
+    }
+
+/** Builds the operators' listener. */
+internal fun operatorsListener(
+    settings: HostSettings.Operators,
+    idleTimeout: Duration,
+    api: OperatorsApi,
+    info: InfoApi,
+    log: EventLog,
+): Javalin = Javalin.create { config ->
+    config.listen(settings.address, settings.port, OPERATOR_THREADS, idleTimeout, log)
+    config.routes.get("/metrics") { info.metrics(it.res()) }
+    config.routes.get("/admin/status") { api.status(it.req(), it.res()) }
+    config.routes.post("/admin/keys/withdraw") { api.withdrawKey(it.req(), it.res()) }
+    config.routes.post("/admin/drain") { api.drain(it.req(), it.res()) }
+}
+
+private fun JavalinConfig.listen(address: String, port: Int, threads: Int, idleTimeout: Duration, log: EventLog) {
+    startup.showJavalinBanner = false
+    startup.showOldJavalinVersionWarning = false
+    http.compressionStrategy = CompressionStrategy.NONE
+    jetty.threadPool = QueuedThreadPool(threads + SPARE_THREADS, MIN_THREADS)
+    jetty.modifyServer { it.errorHandler = JsonErrorHandler() }
+    jetty.addConnector { server, http -> connector(server, http, address, port, idleTimeout) }
+    routes.error(NOT_FOUND, "*") { ctx ->
+        if (!ctx.res().isCommitted) ctx.res().sendError(ResultCode.UNKNOWN_ROUTE, status = NOT_FOUND)
+    }
+    routes.exception(Exception::class.java) { e, ctx ->
+        log.error(e)
+        if (!ctx.res().isCommitted) ctx.res().sendError(ResultCode.INTERNAL_ERROR)
+    }
+}
+
+private const val NOT_FOUND = 404
+
+private fun connector(server: Server, http: HttpConfiguration, address: String, port: Int, idleTimeout: Duration) =
+    ServerConnector(server, HttpConnectionFactory(http)).apply {
+        http.sendServerVersion = false
+        http.requestHeaderSize = REQUEST_HEADER_BYTES
+        this.host = address
+        this.port = port
+        this.idleTimeout = idleTimeout.inWholeMilliseconds
+    }
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ModelExchange.kt
@@ -0,0 +1,152 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.port.BackendServerClient
+import io.anvilvalve.api.port.EngineRequest
+import io.anvilvalve.api.port.TokenChunk
+import io.anvilvalve.api.result.Executed
+import io.anvilvalve.core.HostEffect
+import io.anvilvalve.core.HostEvent
+import io.anvilvalve.core.ModelRequest
+import io.anvilvalve.core.StreamCursor
+import io.anvilvalve.core.StreamCursor.Verdict
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import java.io.IOException
+
+/** The caller's connection failed while the answer was written. */
+internal class CallerGoneException(cause: IOException) : Exception(cause)
+
+/**
+ * Carries one request to a model through its attempts on the caller's thread.
+ *
+ * Reads from the engine and writes to the caller are done by the same thread, so a caller that does not read stops the
+ * reading from the engine once the socket buffers are full.
+ */
+internal class ModelExchange(
+    private val caller: CallerRequest,
+    private val request: ModelRequest,
+    private val prompt: String,
+    private val answer: Answer,
+    private val backends: BackendServerClient,
+    private val post: (HostEvent) -> Unit,
+) {
+    private val cursor = StreamCursor()
+
+    /** Runs until the answer has ended or the caller is gone. */
+    fun run() {
+        try {
+            runBlocking { exchange() }
+        } catch (_: CallerGoneException) {
+            post(HostEvent.CallerGone(request.id))
+        }
+    }
+
+    private suspend fun exchange() = coroutineScope {
+        post(HostEvent.RequestArrived(request))
+        for (step in caller.steps) {
+            if (step == null || perform(step)) break
+        }
+    }
+
+    /** Performs [step] and returns whether it ended the answer. */
+    private fun CoroutineScope.perform(step: HostEffect): Boolean {
+        when (step) {
+            is HostEffect.StartPrefill -> attempt(step.attempt) { prefill(step) }
+            is HostEffect.StartDecode -> attempt(step.attempt) { decode(step) }
+            is HostEffect.FinishAnswer -> return ended { answer.finish() }
+            is HostEffect.FailAnswer -> return ended { answer.fail(step.code) }
+            is HostEffect.Refuse -> return ended { answer.fail(step.code, step.retryAfterMillis) }
+            else -> Unit
+        }
+        return false
+    }
+
+    private fun CoroutineScope.attempt(number: Int, work: suspend () -> Unit) =
+        caller.run(number, launch(start = CoroutineStart.LAZY) { work() })
+
+    private suspend fun prefill(step: HostEffect.StartPrefill) {
+        val result = backends.prefill(step.server, engineRequest(step.attempt, step.priority, step.resumeFrom))
+        post(HostEvent.PrefillEnded(request.id, step.attempt, result))
+    }
+
+    private suspend fun decode(step: HostEffect.StartDecode) {
+        cursor.begin(step.attempt)
+        val relay = Relay(step.attempt)
+        backends.decode(step.server, engineRequest(step.attempt, step.priority, step.resumeFrom), step.kv)
+            .takeWhile { item -> item.fold(relay::fail, { relay.take(it) }) }
+            .collect { }
+        currentCoroutineContext().ensureActive()
+        post(HostEvent.DecodeEnded(request.id, step.attempt, cursor.delivered, relay.fault))
+    }
+
+    private fun engineRequest(attempt: Int, priority: Int, resumeFrom: Int) = EngineRequest(
+        request.id,
+        attempt,
+        request.model,
+        prompt,
+        request.promptTokens,
+        request.maxTokens,
+        priority,
+        request.adapter,
+        resumeFrom,
+    )
+
+    private fun ended(write: () -> Unit): Boolean {
+        writing(write)
+        return true
+    }
+
+    private fun writing(write: () -> Unit) {
+        try {
+            write()
+        } catch (e: IOException) {
+            throw CallerGoneException(e)
+        }
+    }
+
+    /** Relays the chunks of one attempt; [fault] is null once the last chunk has come. */
+    private inner class Relay(private val attempt: Int) {
+        var fault: BackendFault? = BackendFault(Executed.UNKNOWN, "the stream ended early")
+            private set
+
+        fun fail(reason: BackendFault): Boolean {
+            fault = reason
+            return false
+        }
+
+        /** Returns whether the stream goes on. */
+        suspend fun take(chunk: TokenChunk): Boolean {
+            currentCoroutineContext().ensureActive()
+            when (cursor.accept(attempt, chunk.index)) {
+                Verdict.NEXT -> deliver(chunk)
+                Verdict.DUPLICATE, Verdict.STALE -> Unit
+                Verdict.GAP -> return fail(gap(chunk))
+            }
+            if (chunk.finishReason != null) fault = null
+            return chunk.finishReason == null
+        }
+
+        private fun deliver(chunk: TokenChunk) {
+            writing { answer.token(chunk) }
+            val delivered = cursor.delivered
+            if (delivered == 1 || delivered % REPORT_EVERY == 0) {
+                post(HostEvent.TokensDelivered(request.id, attempt, delivered))
+            }
+        }
+
+        private fun gap(chunk: TokenChunk) =
+            BackendFault(Executed.UNKNOWN, "token ${chunk.index} came in place of ${cursor.delivered}")
+    }
+
+    companion object {
+        /** Tokens between two reports of progress to the rules. */
+        const val REPORT_EVERY = 64
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/OperatorsApi.kt
@@ -0,0 +1,106 @@
+package io.anvilvalve.host
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.result.ResultCode
+import jakarta.servlet.http.HttpServletRequest
+import jakarta.servlet.http.HttpServletResponse
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import java.security.MessageDigest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Handlers of the operators' API, guarded by a bearer [token]. */
+internal class OperatorsApi(
+    private val token: String,
+    private val state: HostState,
+    private val bodies: BodyReader,
+    private val running: () -> Int,
+    private val withdraw: (KeyHash) -> Unit,
+    private val drain: (Duration) -> Unit,
+) {
+    fun status(request: HttpServletRequest, response: HttpServletResponse) = guarded(request, response) {
+        val status = state.status
+        val body = buildJsonObject {
+            put("host", status.host.value)
+            put("incarnation", status.incarnation.value)
+            put("release", status.release.value)
+            put("applied_offset", status.appliedOffset.value)
+            put("current", status.current)
+            put("ready", state.acceptsTraffic)
+            put("draining", status.draining || state.draining)
+            putJsonArray("members") { status.members.forEach { add(it.value) } }
+            put("running", running())
+        }
+        response.sendBody("application/json", body.toString().toByteArray())
+    }
+
+    fun withdrawKey(request: HttpServletRequest, response: HttpServletResponse) = guarded(request, response) {
+        val hash = parse(request, KeyBody.serializer()).map { it.hash.lowercase() }
+        val checked = either {
+            val hex = hash.bind()
+            ensure(hashPattern.matches(hex)) { Rejection(ResultCode.MALFORMED_REQUEST, "hash must be SHA-256 in hex.") }
+            KeyHash(hex)
+        }
+        checked.fold({ response.sendError(it.code, it.detail) }) { key ->
+            withdraw(key)
+            response.accepted()
+        }
+    }
+
+    fun drain(request: HttpServletRequest, response: HttpServletResponse) = guarded(request, response) {
+        val deadline = either {
+            val body = parse(request, DrainBody.serializer()).bind()
+            ensure(body.deadlineSeconds in 0..MAX_DEADLINE) {
+                Rejection(ResultCode.MALFORMED_REQUEST, "deadline_s must be 0 to $MAX_DEADLINE.")
+            }
+            body.deadlineSeconds.seconds
+        }
+        deadline.fold({ response.sendError(it.code, it.detail) }) {
+            drain(it)
+            response.accepted()
+        }
+    }
+
+    private fun guarded(request: HttpServletRequest, response: HttpServletResponse, work: () -> Unit) {
+        val given = request.getHeader("Authorization").orEmpty().removePrefix("Bearer ")
+        if (MessageDigest.isEqual(given.toByteArray(), token.toByteArray())) {
+            work()
+        } else {
+            response.sendError(ResultCode.KEY_INVALID)
+        }
+    }
+
+    private fun <T> parse(request: HttpServletRequest, serializer: KSerializer<T>): Either<Rejection, T> = either {
+        val text = bodies.readText(request).bind()
+        ensureNotNull(Either.catch { Json.decodeFromString(serializer, text) }.getOrNull()) {
+            Rejection(ResultCode.MALFORMED_REQUEST, "The body is not the expected JSON.")
+        }
+    }
+
+    private fun HttpServletResponse.accepted() {
+        status = HttpServletResponse.SC_ACCEPTED
+        sendBody("application/json", "{}".toByteArray())
+    }
+
+    @Serializable
+    private class KeyBody(val hash: String)
+
+    @Serializable
+    private class DrainBody(@SerialName("deadline_s") val deadlineSeconds: Int)
+
+    private companion object {
+        const val MAX_DEADLINE = 86_400
+        val hashPattern = Regex("[0-9a-f]{64}")
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ServerWatcher.kt
@@ -0,0 +1,51 @@
+package io.anvilvalve.host
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.port.BackendServerClient
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Role
+import io.anvilvalve.core.HostEvent
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+
+/** Polls load and cache events of the watched backend servers every [interval]; called by the loop thread only. */
+internal class ServerWatcher(
+    private val scope: CoroutineScope,
+    private val backends: BackendServerClient,
+    private val interval: Duration,
+    private val post: (HostEvent) -> Unit,
+) {
+    private val polls = HashMap<BackendServerId, Pair<BackendServer, Job>>()
+
+    /** Polls exactly [servers] from now on. */
+    fun watch(servers: List<BackendServer>) {
+        val wanted = servers.associateBy { it.id }
+        polls.entries.removeIf { (id, poll) ->
+            val gone = wanted[id] != poll.first
+            if (gone) poll.second.cancel()
+            gone
+        }
+        wanted.filterKeys { it !in polls }.forEach { (id, server) ->
+            polls[id] = server to scope.launch { poll(server) }
+        }
+    }
+
+    private suspend fun CoroutineScope.poll(server: BackendServer) {
+        var after = 0L
+        while (isActive) {
+            post(HostEvent.LoadRead(server.id, backends.load(server).getOrNull()))
+            if (server.role != Role.SERVICE) after = pollCache(server, after)
+            delay(interval)
+        }
+    }
+
+    private suspend fun pollCache(server: BackendServer, after: Long): Long {
+        val events = backends.cacheEvents(server, after).getOrNull().orEmpty()
+        if (events.isNotEmpty()) post(HostEvent.CacheRead(server.id, events))
+        return events.maxOfOrNull { it.sequence } ?: after
+    }
+}
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ServiceExchange.kt
@@ -0,0 +1,103 @@
+package io.anvilvalve.host
+
+import arrow.core.Either
+import io.anvilvalve.api.log.KeptReply
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.port.BackendServerClient
+import io.anvilvalve.api.port.ServiceCall
+import io.anvilvalve.api.port.ServiceReply
+import io.anvilvalve.core.HostEffect
+import io.anvilvalve.core.HostEvent
+import io.anvilvalve.core.ServiceRequest
+import jakarta.servlet.http.HttpServletResponse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import java.io.IOException
+
+/** Carries one call to a plain service on the caller's thread. */
+internal class ServiceExchange(
+    private val caller: CallerRequest,
+    private val request: ServiceRequest,
+    private val call: ServiceCall,
+    private val response: HttpServletResponse,
+    private val backends: BackendServerClient,
+    private val post: (HostEvent) -> Unit,
+) {
+    private var reply: ServiceReply? = null
+
+    /** Runs until the reply was written or the caller is gone. */
+    fun run() {
+        try {
+            runBlocking { exchange() }
+        } catch (_: IOException) {
+            post(HostEvent.CallerGone(request.id))
+        }
+    }
+
+    private suspend fun exchange() = coroutineScope {
+        post(HostEvent.ServiceArrived(request))
+        for (step in caller.steps) {
+            if (step == null || perform(step)) break
+        }
+    }
+
+    private fun CoroutineScope.perform(step: HostEffect): Boolean {
+        when (step) {
+            is HostEffect.CallService ->
+                caller.run(FIRST_ATTEMPT, launch(start = CoroutineStart.LAZY) { call(step) })
+
+            is HostEffect.ReplyService -> return ended { write(step) }
+
+            is HostEffect.FailAnswer -> return ended { response.sendError(step.code) }
+
+            is HostEffect.Refuse ->
+                return ended { response.sendError(step.code, retryAfterMillis = step.retryAfterMillis) }
+
+            else -> Unit
+        }
+        return false
+    }
+
+    private suspend fun call(step: HostEffect.CallService) {
+        val result: Either<BackendFault, ServiceReply> = backends.call(step.server, call)
+        reply = result.getOrNull()
+        post(HostEvent.ServiceReplied(request.id, result.map(::kept)))
+    }
+
+    /** A reply too large to keep still goes to this caller whole. */
+    private fun write(step: HostEffect.ReplyService) {
+        val own = reply
+        if (step.replayed) response.setHeader("Idempotency-Replayed", "true")
+        if (own != null && !step.replayed) {
+            send(own.status, own.contentType, own.body)
+        } else {
+            send(step.reply.status, step.reply.contentType, step.reply.body)
+        }
+    }
+
+    private fun send(status: Int, contentType: String, body: ByteArray) {
+        response.status = status
+        response.sendBody(contentType, body)
+    }
+
+    private fun ended(write: () -> Unit): Boolean {
+        write()
+        return true
+    }
+
+    companion object {
+        /** Replies up to this size are kept in the log. */
+        const val MAX_KEPT_BYTES = 16 * 1024
+
+        private const val FIRST_ATTEMPT = 1
+
+        private fun kept(reply: ServiceReply): KeptReply = if (reply.body.size > MAX_KEPT_BYTES) {
+            KeptReply(reply.status, reply.contentType, ByteArray(0), truncated = true)
+        } else {
+            KeptReply(reply.status, reply.contentType, reply.body)
+        }
+    }
+}
--- a/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/HostSettings.kt
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/HostSettings.kt
@@ -38,6 +38,7 @@
      * @property idleTimeout time after which a caller that sends or reads nothing is cut off.
      * @property defaultMaxTokens `max_tokens` of a request that names none; it is charged before the request runs.
      * @property batchPromptTokens prompt length from which a request without a class header is batch work.
+     * @property requestTimeout time after which a request is cancelled as if its caller were gone.
      */
     data class Callers(
         val address: String = "0.0.0.0",
@@ -48,6 +49,7 @@
         val idleTimeout: Duration = 30_000.milliseconds,
         val defaultMaxTokens: Int = 512,
         val batchPromptTokens: Int = 8_000,
+        val requestTimeout: Duration = 900_000.milliseconds,
     )
 
     /**
@@ -87,7 +89,7 @@
         val tokenGapTimeout: Duration = 10_000.milliseconds,
         val controlTimeout: Duration = 2_000.milliseconds,
         val serviceTimeout: Duration = 30_000.milliseconds,
-        val loadPoll: Duration = 500.milliseconds,
+        val loadPoll: Duration = 1_000.milliseconds,
     )
 
     /** Form and least level of log lines. */
--- a/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/SettingsFiles.kt
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/SettingsFiles.kt
@@ -56,6 +56,7 @@
         idleTimeout = millis(CALLERS, "idle_timeout_ms", default.idleTimeout, 100L..600_000L),
         defaultMaxTokens = int(CALLERS, "default_max_tokens", default.defaultMaxTokens, 1..MAX_MAX_TOKENS),
         batchPromptTokens = int(CALLERS, "batch_prompt_tokens", default.batchPromptTokens, 1..1_000_000),
+        requestTimeout = millis(CALLERS, "request_timeout_ms", default.requestTimeout, 1_000L..86_400_000L),
     )
 }
 
