Tell callers truthfully whether a request may have run

Cause: a code that means 'not run' can end a request of which an earlier attempt ran. Change: the daemon counts attempts that may have run and answers 'unknown' when there is one. A caller that is gone does not stop a sent call to a plain service. Prefix hashes take the form that engines report.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Answer.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Answer.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.host
 
 import io.anvilvalve.api.port.TokenChunk
+import io.anvilvalve.api.result.Executed
 import io.anvilvalve.api.result.ResultCode
 import jakarta.servlet.http.HttpServletResponse
 import kotlinx.serialization.json.JsonPrimitive
@@ -50,8 +51,8 @@
     /** Ends the answer as whole. */
     fun finish()
 
-    /** Ends the answer with an error. */
-    fun fail(code: ResultCode, retryAfterMillis: Long = 0)
+    /** Ends the answer with an error; [executed] tells whether the request may have run. */
+    fun fail(code: ResultCode, executed: Executed, retryAfterMillis: Long = 0)
 }
 
 /** Writes each token as a server-sent event; the status is decided by the first token or error. */
@@ -74,11 +75,11 @@
         write("data: [DONE]\n\n")
     }
 
-    override fun fail(code: ResultCode, retryAfterMillis: Long) {
+    override fun fail(code: ResultCode, executed: Executed, retryAfterMillis: Long) {
         if (tokens == 0) {
-            response.sendError(code, retryAfterMillis = retryAfterMillis)
+            response.sendError(code, retryAfterMillis = retryAfterMillis, executed = executed)
         } else {
-            write("data: ${code.errorBody()}\n\n")
+            write("data: ${code.errorBody(executed = executed)}\n\n")
         }
     }
 
@@ -109,6 +110,6 @@
     override fun finish() =
         response.sendBody("application/json", form.whole(text.toString(), finishReason, tokens).toByteArray())
 
-    override fun fail(code: ResultCode, retryAfterMillis: Long) =
-        response.sendError(code, retryAfterMillis = retryAfterMillis)
+    override fun fail(code: ResultCode, executed: Executed, retryAfterMillis: Long) =
+        response.sendError(code, retryAfterMillis = retryAfterMillis, executed = executed)
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerRequest.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerRequest.kt
@@ -1,11 +1,15 @@
 package io.anvilvalve.host
 
 import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.port.BackendFault
+import io.anvilvalve.api.result.Executed
+import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.core.HostEffect
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * A caller's request that is open on this host.
@@ -23,6 +27,26 @@
     @Volatile
     private var ended = false
 
+    /** Whether the caller has closed its connection. */
+    @Volatile
+    var gone: Boolean = false
+
+    /** Attempts that were sent and may have run; an attempt that did not run is taken back. */
+    private val sent = AtomicInteger()
+
+    /** What is true of the request when it ends with an error of [code]. */
+    fun executed(code: ResultCode): Executed = if (sent.get() > 0) Executed.UNKNOWN else code.executed
+
+    /** Notes that an attempt is about to be sent. */
+    fun sending() {
+        sent.incrementAndGet()
+    }
+
+    /** Takes [sending] back when [fault] says that the attempt did not run. */
+    fun answered(fault: BackendFault?) {
+        if (fault?.executed == Executed.NO) sent.decrementAndGet()
+    }
+
     /** Hands over a step that starts work. */
     fun start(step: HostEffect) {
         steps.trySend(step)
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallersApi.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallersApi.kt
@@ -62,7 +62,7 @@
         headers: CallerHeaders,
         body: CompletionRequest,
         chat: Boolean,
-    ) = opened(request, response) { caller ->
+    ) = opened(request, response, { it.end(null) }) { caller ->
         val model = modelRequest(caller.id, headers, body)
         val created = clock.instant().epochSecond
         val form = AnswerForm(chat, caller.id.value, body.model, created, model.promptTokens)
@@ -92,7 +92,7 @@
         headers: CallerHeaders,
         body: ByteArray,
         route: String,
-    ) = opened(request, response) { caller ->
+    ) = opened(request, response, {}) { caller ->
         val query = request.queryString?.let { "?$it" }.orEmpty()
         val path = request.requestURI.removePrefix("/svc/").substringAfter("/", "").let { "/$it$query" }
         val digest = digest(request.method, path, body)
@@ -101,16 +101,26 @@
         ServiceExchange(caller, arrived, call, response, backends, post).run()
     }
 
-    /** Runs [work] with an entry in the table and a watch on the caller's connection. */
-    private fun opened(request: HttpServletRequest, response: HttpServletResponse, work: (CallerRequest) -> Unit) {
+    /**
+     * Runs [work] with an entry in the table and a watch on the caller's connection.
+     *
+     * @param onGone called when the caller has gone; a sent call to a plain service goes on, so that its reply is kept.
+     */
+    private fun opened(
+        request: HttpServletRequest,
+        response: HttpServletResponse,
+        onGone: (CallerRequest) -> Unit,
+        work: (CallerRequest) -> Unit,
+    ) {
         val caller = table.open(settings.maxRequests)
         if (caller == null) {
             response.sendError(ResultCode.NO_BACKEND_SERVER, "This host has no free request slot.")
             return
         }
         val entry = watch.watch(request, time.markNow() + settings.requestTimeout) {
+            caller.gone = true
             post(HostEvent.CallerGone(caller.id))
-            caller.end(null)
+            onGone(caller)
         }
         try {
             response.setHeader("X-Request-Id", caller.id.value)
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
@@ -16,6 +16,7 @@
 import io.anvilvalve.core.HostConfig
 import io.anvilvalve.core.HostEffect
 import io.anvilvalve.core.HostEvent
+import io.anvilvalve.core.HostReducer
 import io.anvilvalve.core.HostStatus
 import io.anvilvalve.net.PeerTransport
 import io.anvilvalve.settings.HostSettings
@@ -53,7 +54,7 @@
     private val peers: PeerTransport,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val clock: Clock = Clock.systemUTC(),
-    private val reducer: (HostConfig) -> Reducer<HostEvent, HostEffect>,
+    private val reducer: (HostConfig) -> Reducer<HostEvent, HostEffect> = ::HostReducer,
 ) : AutoCloseable {
     /** Identity of this start of the host. */
     val incarnation = Incarnation("%s-%x-%04x".format(settings.host.id, clock.millis(), Random.nextInt(MAX_SUFFIX)))
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ErrorBody.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ErrorBody.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.host
 
+import io.anvilvalve.api.result.Executed
 import io.anvilvalve.api.result.ResultCode
 import jakarta.servlet.http.HttpServletResponse
 import kotlinx.serialization.json.buildJsonObject
@@ -11,13 +12,14 @@
 private const val UNAVAILABLE = 503
 
 /** Error body of the callers' API. */
-internal fun ResultCode.errorBody(detail: String? = null): String = buildJsonObject {
-    putJsonObject("error") {
-        put("code", code)
-        put("message", if (detail == null) meaning else "$meaning $detail")
-        put("executed", executed.name.lowercase())
-    }
-}.toString()
+internal fun ResultCode.errorBody(detail: String? = null, executed: Executed = this.executed): String =
+    buildJsonObject {
+        putJsonObject("error") {
+            put("code", code)
+            put("message", if (detail == null) meaning else "$meaning $detail")
+            put("executed", executed.name.lowercase())
+        }
+    }.toString()
 
 /** Answers with an error before anything else was sent. */
 internal fun HttpServletResponse.sendError(
@@ -25,13 +27,14 @@
     detail: String? = null,
     retryAfterMillis: Long = 0,
     status: Int = code.httpStatus,
+    executed: Executed = code.executed,
 ) {
     this.status = status
     if (status == TOO_MANY_REQUESTS || status == UNAVAILABLE) {
         val seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
         setHeader("Retry-After", maxOf(1, seconds).toString())
     }
-    sendBody("application/json", code.errorBody(detail).toByteArray())
+    sendBody("application/json", code.errorBody(detail, executed).toByteArray())
 }
 
 internal fun HttpServletResponse.sendBody(contentType: String, bytes: ByteArray) {
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ModelExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ModelExchange.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.port.EngineRequest
 import io.anvilvalve.api.port.TokenChunk
 import io.anvilvalve.api.result.Executed
+import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.core.HostEffect
 import io.anvilvalve.core.HostEvent
 import io.anvilvalve.core.ModelRequest
@@ -61,8 +62,8 @@
             is HostEffect.StartPrefill -> attempt(step.attempt) { prefill(step) }
             is HostEffect.StartDecode -> attempt(step.attempt) { decode(step) }
             is HostEffect.FinishAnswer -> return ended { answer.finish() }
-            is HostEffect.FailAnswer -> return ended { answer.fail(step.code) }
-            is HostEffect.Refuse -> return ended { answer.fail(step.code, step.retryAfterMillis) }
+            is HostEffect.FailAnswer -> return fail(step.code)
+            is HostEffect.Refuse -> return fail(step.code, step.retryAfterMillis)
             else -> Unit
         }
         return false
@@ -72,17 +73,21 @@
         caller.run(number, launch(start = CoroutineStart.LAZY) { work() })
 
     private suspend fun prefill(step: HostEffect.StartPrefill) {
+        caller.sending()
         val result = backends.prefill(step.server, engineRequest(step.attempt, step.priority, step.resumeFrom))
+        caller.answered(result.leftOrNull())
         post(HostEvent.PrefillEnded(request.id, step.attempt, result))
     }
 
     private suspend fun decode(step: HostEffect.StartDecode) {
+        caller.sending()
         cursor.begin(step.attempt)
         val relay = Relay(step.attempt)
         backends.decode(step.server, engineRequest(step.attempt, step.priority, step.resumeFrom), step.kv)
             .takeWhile { item -> item.fold(relay::fail, { relay.take(it) }) }
             .collect { }
         currentCoroutineContext().ensureActive()
+        caller.answered(relay.fault)
         post(HostEvent.DecodeEnded(request.id, step.attempt, cursor.delivered, relay.fault))
     }
 
@@ -98,6 +103,10 @@
         resumeFrom,
     )
 
+    private fun fail(code: ResultCode, retryAfterMillis: Long = 0): Boolean = ended {
+        if (!caller.gone) answer.fail(code, caller.executed(code), retryAfterMillis)
+    }
+
     private fun ended(write: () -> Unit): Boolean {
         writing(write)
         return true
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/PromptMeasures.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/PromptMeasures.kt
@@ -1,5 +1,8 @@
 package io.anvilvalve.host
 
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+
 /** Estimates of a prompt that the rules need; engines count the tokens themselves. */
 internal object PromptMeasures {
     /** English and source text average about four characters per token with common tokenizers. */
@@ -8,21 +11,22 @@
     /** KV cache is managed in blocks of about 1,000 tokens. */
     const val TOKENS_PER_BLOCK = 1_000
 
-    private const val FNV_OFFSET = -3_750_763_034_362_895_579L
-    private const val FNV_PRIME = 1_099_511_628_211L
+    private const val BLOCK_CHARS = CHARS_PER_TOKEN * TOKENS_PER_BLOCK
 
     /** Estimated tokens of [prompt], at least 1. */
     fun tokens(prompt: String): Int = maxOf(1, (prompt.length + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN)
 
-    /** FNV-1a hashes of the prefixes that fill 1, 2, ... whole blocks. */
+    /**
+     * Hashes of the prefixes that fill 1, 2, ... whole blocks of [prompt].
+     *
+     * A hash is the first eight bytes of the SHA-256 over the UTF-8 bytes of the prefix, as engines report it in cache
+     * events.
+     */
     fun prefixHashes(prompt: String): List<Long> {
-        val blockChars = CHARS_PER_TOKEN * TOKENS_PER_BLOCK
-        val hashes = ArrayList<Long>(prompt.length / blockChars)
-        var hash = FNV_OFFSET
-        for (i in prompt.indices) {
-            hash = (hash xor prompt[i].code.toLong()) * FNV_PRIME
-            if ((i + 1) % blockChars == 0) hashes += hash
+        val digest = MessageDigest.getInstance("SHA-256")
+        return (0 until prompt.length / BLOCK_CHARS).map { block ->
+            digest.update(prompt.substring(block * BLOCK_CHARS, (block + 1) * BLOCK_CHARS).toByteArray())
+            ByteBuffer.wrap((digest.clone() as MessageDigest).digest()).getLong()
         }
-        return hashes
     }
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ServiceExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/ServiceExchange.kt
@@ -6,6 +6,7 @@
 import io.anvilvalve.api.port.BackendServerClient
 import io.anvilvalve.api.port.ServiceCall
 import io.anvilvalve.api.port.ServiceReply
+import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.core.HostEffect
 import io.anvilvalve.core.HostEvent
 import io.anvilvalve.core.ServiceRequest
@@ -51,10 +52,9 @@
 
             is HostEffect.ReplyService -> return ended { write(step) }
 
-            is HostEffect.FailAnswer -> return ended { response.sendError(step.code) }
+            is HostEffect.FailAnswer -> return fail(step.code)
 
-            is HostEffect.Refuse ->
-                return ended { response.sendError(step.code, retryAfterMillis = step.retryAfterMillis) }
+            is HostEffect.Refuse -> return fail(step.code, step.retryAfterMillis)
 
             else -> Unit
         }
@@ -62,9 +62,13 @@
     }
 
     private suspend fun call(step: HostEffect.CallService) {
+        caller.sending()
         val result: Either<BackendFault, ServiceReply> = backends.call(step.server, call)
+        caller.answered(result.leftOrNull())
         reply = result.getOrNull()
         post(HostEvent.ServiceReplied(request.id, result.map(::kept)))
+        // The rules order no reply to a caller that is gone.
+        if (caller.gone) caller.end(null)
     }
 
     /** A reply too large to keep still goes to this caller whole. */
@@ -83,8 +87,12 @@
         response.sendBody(contentType, body)
     }
 
+    private fun fail(code: ResultCode, retryAfterMillis: Long = 0): Boolean = ended {
+        response.sendError(code, retryAfterMillis = retryAfterMillis, executed = caller.executed(code))
+    }
+
     private fun ended(write: () -> Unit): Boolean {
-        write()
+        if (!caller.gone) write()
         return true
     }
 
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
 import okhttp3.Call
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -31,9 +32,17 @@
 /** Statuses with which a backend server says that it did not run the request; 408 may come after a part has run. */
 private val notRunStatuses = setOf(400, 401, 403, 404, 405, 409, 413, 415, 422, 429, 503)
 
+/** The error body's own word on whether the request ran comes before the meaning of the status. */
 internal fun statusFault(status: Int, text: String): BackendFault {
-    val executed = if (status in notRunStatuses) Executed.NO else Executed.UNKNOWN
-    return BackendFault(executed, text.take(MAX_ERROR_BYTES.toInt()), status)
+    val byStatus = if (status in notRunStatuses) Executed.NO else Executed.UNKNOWN
+    val stated = Either.catch { wireJson.decodeFromString(ErrorReply.serializer(), text).error.executed }.getOrNull()
+    return BackendFault(stated ?: byStatus, text.take(MAX_ERROR_BYTES.toInt()), status)
+}
+
+@Serializable
+private class ErrorReply(val error: Error) {
+    @Serializable
+    class Error(val executed: Executed? = null)
 }
 
 /** Streams the tokens of [request]; reads on the collector's thread, and cancelling the collector closes the call. */
