--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.net
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import io.anvilvalve.api.port.BackendFault
@@ -17,6 +18,7 @@
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
 import okhttp3.Call
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -30,9 +32,17 @@
 /** Statuses with which a backend server says that it did not run the request; 408 may come after a part has run. */
 private val notRunStatuses = setOf(400, 401, 403, 404, 405, 409, 413, 415, 422, 429, 503)
 
+/** The error body's own word on whether the request ran comes before the meaning of the status. */
 internal fun statusFault(status: Int, text: String): BackendFault {
-    val executed = if (status in notRunStatuses) Executed.NO else Executed.UNKNOWN
-    return BackendFault(executed, text.take(MAX_ERROR_BYTES.toInt()), status)
+    val byStatus = if (status in notRunStatuses) Executed.NO else Executed.UNKNOWN
+    val stated = Either.catch { wireJson.decodeFromString(ErrorReply.serializer(), text).error.executed }.getOrNull()
+    return BackendFault(stated ?: byStatus, text.take(MAX_ERROR_BYTES.toInt()), status)
+}
+
+@Serializable
+private class ErrorReply(val error: Error) {
+    @Serializable
+    class Error(val executed: Executed? = null)
 }
 
 /** Streams the tokens of [request]; reads on the collector's thread, and cancelling the collector closes the call. */
@@ -41,16 +51,19 @@
     val call = client.newCall(request.newBuilder().tag(SentMarker::class.java, marker).build())
     coroutineScope {
         val watch = cancelWith(call)
-        try {
-            call.execute().use { emitTokens(it) }
-        } catch (e: IOException) {
-            currentCoroutineContext().ensureActive()
-            emit(e.toFault(marker.executed).left())
-        }
+        reading(marker) { call.execute() }.fold({ emit(it.left()) }, { response -> response.use { emitTokens(it) } })
         watch.cancel()
     }
 }
 
+/** Only reads are caught here: an exception of the collector must pass through the flow unchanged. */
+private suspend fun <T> reading(marker: SentMarker, read: () -> T): Either<BackendFault, T> = try {
+    read().right()
+} catch (e: IOException) {
+    currentCoroutineContext().ensureActive()
+    e.toFault(marker.executed).left()
+}
+
 /** A blocking read does not see that its coroutine is cancelled; a second coroutine closes the call instead. */
 private fun CoroutineScope.cancelWith(call: Call): Job = launch(Dispatchers.Default) {
     try {
@@ -62,21 +75,28 @@
 
 private suspend fun FlowCollector<Either<BackendFault, TokenChunk>>.emitTokens(response: Response) {
     if (response.code != SUCCESS) {
-        val source = response.body.source()
-        source.request(MAX_ERROR_BYTES)
-        val text = source.buffer.readUtf8(minOf(MAX_ERROR_BYTES, source.buffer.size))
-        return emit(statusFault(response.code, text).left())
+        return emit(statusFault(response.code, response.errorText()).left())
     }
+    val marker = SentMarker().apply { sent = true }
     val events = SseReader(response.body.source())
-    while (true) {
-        val data = events.next() ?: return
-        if (data == DONE) return
-        val chunk = parseChunk(data)
+    var last = false
+    while (!last) {
+        val data = reading(marker) { events.next() }
+        if (data.isRight { it == null || it == DONE }) return
+        val chunk = data.flatMap { parseChunk(it.orEmpty()) }
         emit(chunk)
-        if (chunk.isLeft() || chunk.getOrNull()?.finishReason != null) return
+        last = chunk.fold({ true }, { it.finishReason != null })
     }
 }
 
+private fun Response.errorText(): String = try {
+    val source = body.source()
+    source.request(MAX_ERROR_BYTES)
+    source.buffer.readUtf8(minOf(MAX_ERROR_BYTES, source.buffer.size))
+} catch (e: IOException) {
+    "unreadable error body: ${e.message}"
+}
+
 private fun parseChunk(data: String): Either<BackendFault, TokenChunk> = try {
     wireJson.decodeFromString(StreamEvent.serializer(), data).toChunk().right()
 } catch (e: IllegalArgumentException) {
