Keep refusals true after a first attempt and survive owner changes

Cause: the fault matrix found two faults. After a stalled transfer the second placement was refused and the caller was told 'not run' although the prefill had run. When a host became the owner of its own pool it ended requests while it iterated over them, and the reducer threw ConcurrentModificationException. Change: a request that was ever sent ends with a code that says 'unknown'; the loop works on a copy.

--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/ModelRequests.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/ModelRequests.kt
@@ -125,7 +125,8 @@
 
     /** Submits again what waits at an owner that is no longer the owner, and announces what runs to the new one. */
     fun ownersChanged() {
-        for (running in requests.values) {
+        // This host may be the new owner and end a request while the loop runs.
+        for (running in requests.values.toList()) {
             if (running.stage == Stage.ADMISSION) continue
             val owner = pools.owner(running.request.model, out.now)
             if (owner == running.owner) continue
@@ -217,6 +218,7 @@
         }
         dropKv(running)
         running.enter(Stage.PREFILL, out.now)
+        running.everSent = true
         report(running, Phase.PREFILL_STARTED)
         out.emit(
             HostEffect.StartPrefill(running.request.id, running.attempt, prefill, placed.priority, running.delivered),
@@ -288,21 +290,26 @@
             serversOf(running).forEach { cancels.start(it, running.engineId()) }
         }
         dropKv(running)
-        forget(running, code)
-        if (started || running.delivered > 0) {
-            out.emit(HostEffect.FailAnswer(running.request.id, code))
+        val result = truthful(running, code)
+        forget(running, result)
+        if (running.everSent) {
+            out.emit(HostEffect.FailAnswer(running.request.id, result))
         } else {
-            out.emit(HostEffect.Refuse(running.request.id, notRun(running, code), retryAfterMillis))
+            out.emit(HostEffect.Refuse(running.request.id, result, retryAfterMillis))
         }
     }
 
-    /** A withdrawn key that stops a request before its first prefill is a plain refusal. */
-    private fun notRun(running: RunningRequest, code: ResultCode): ResultCode =
-        if (code == ResultCode.KEY_WITHDRAWN && running.prefillTokens == 0) ResultCode.KEY_INVALID else code
+    /** A refusal of a later attempt must not say "not run", and a withdrawn key before the first attempt must. */
+    private fun truthful(running: RunningRequest, code: ResultCode): ResultCode = when {
+        !running.everSent -> if (code == ResultCode.KEY_WITHDRAWN) ResultCode.KEY_INVALID else code
+        code.executed == Executed.UNKNOWN -> code
+        running.delivered > 0 -> ResultCode.STREAM_BROKEN
+        else -> ResultCode.BACKEND_TIMEOUT
+    }
 
     private fun forget(running: RunningRequest, code: ResultCode?) {
         requests.remove(running.request.id)
-        val used = if (running.prefillTokens == 0) 0 else running.request.promptTokens + running.delivered
+        val used = if (running.everSent) running.request.promptTokens + running.delivered else 0
         if (running.stage != Stage.ADMISSION) links.settle(running.request.id, used.toLong())
         if (code != null && running.delivered == 0) running.wastedPrefillTokens = running.prefillTokens
         measure(running, code)
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningRequest.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningRequest.kt
@@ -26,6 +26,9 @@
     var kvExpiresAt = Duration.ZERO
     var delivered = 0
     var firstTokenAt: Duration? = null
+
+    /** Whether a prefill has been sent in any attempt; from then on the request may have run. */
+    var everSent = false
     var prefillTokens = 0
     var wastedPrefillTokens = 0
 
--- a/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Fault.kt
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Fault.kt
@@ -2,6 +2,7 @@
 
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.ReleaseNumber
 import io.anvilvalve.api.release.Change
 import io.anvilvalve.api.release.Model
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,4 +39,5 @@
     }),
 }
 
-private fun Scenario.latestRelease() = fleet.hosts.values.mapNotNull { it.status?.release }.max()
+private fun Scenario.latestRelease() =
+    fleet.hosts.values.mapNotNull { it.status?.release }.maxOrNull() ?: ReleaseNumber(0)
--- a/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/FaultMatrixSpec.kt
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/FaultMatrixSpec.kt
@@ -26,6 +26,7 @@
                 }
                 println("fault matrix: $step, ${plans.size} cells, $reached reached, ${broken.size} violations")
                 withClue("cells reached") { reached shouldBeGreaterThan 0 }
+                broken.forEach(::println)
                 broken.shouldBeEmpty()
             }
         }
@@ -48,8 +49,9 @@
 
     fun violations(): List<String> {
         val fleet = scenario.fleet
+        if (step.atStart) watch()
         scenario.warmUp()
-        fleet.onEffect = { host, effect -> if (step.matches(effect)) hit(host) }
+        watch()
         scenario.traffic()
         fleet.queue.runUntil(Scenario.READY + FAULTY)
         fleet.onEffect = { _, _ -> }
@@ -57,6 +59,10 @@
         return scenario.invariants.all()
     }
 
+    private fun watch() {
+        scenario.fleet.onEffect = { host, effect -> if (step.matches(effect)) hit(host) }
+    }
+
     private fun hit(host: VirtualHost) {
         if (hits == 0) {
             scenario.fleet.queue.after(0.milliseconds) { plan.first().hit(scenario, host) }
--- a/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/InvariantsSpec.kt
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/InvariantsSpec.kt
@@ -12,12 +12,11 @@
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.seconds
 
+private typealias Mutation = (HostEffect) -> List<HostEffect>
+
 /** Guards against checkers that cannot fail: each must report a violation that is planted in the effects of a host. */
 class InvariantsSpec : FunSpec({
-    fun run(
-        prepare: Scenario.() -> Unit = {},
-        mutate: (HostEffect) -> List<HostEffect> = { listOf(it) },
-    ): Invariants {
+    fun run(prepare: Scenario.() -> Unit = {}, mutate: Mutation = { listOf(it) }): Invariants {
         val scenario = Scenario(seed = 7)
         scenario.warmUp()
         scenario.prepare()
