--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Arrivals.kt
@@ -0,0 +1,82 @@
+package io.anvilvalve.bench.policy
+
+import kotlin.math.ln
+import kotlin.random.Random
+
+/** Draws the requests of a run: independent Poisson arrivals of each organisation and kind of request. */
+internal class Arrivals(private val workload: Workload, private val capacity: Capacity) {
+    private val lengths = Lengths(workload)
+
+    fun draw(load: Double, seed: Long): List<Request> {
+        val random = Random(seed)
+        val arrivals = workload.organisations.flatMap { organisation ->
+            organisation.mix.keys.flatMap { kind ->
+                val spec = workload.requests.getValue(kind)
+                val rate = load * organisation.rateFactor * capacity.rate(organisation, spec)
+                times(rate, random).map { Triple(it, organisation, spec) }
+            }
+        }
+        return arrivals.sortedBy { it.first }.mapIndexed { number, (at, organisation, spec) ->
+            request(number, at, organisation, spec, random)
+        }
+    }
+
+    private fun times(rate: Double, random: Random): List<Long> {
+        val times = ArrayList<Long>()
+        var at = 0.0
+        while (rate > 0.0) {
+            at -= ln(1.0 - random.nextDouble()) / rate * MICROS_PER_SECOND
+            if (at >= workload.durationMicros) break
+            times.add(at.toLong())
+        }
+        return times
+    }
+
+    private fun request(
+        number: Int,
+        at: Long,
+        organisation: OrganisationSpec,
+        spec: RequestSpec,
+        random: Random,
+    ): Request {
+        val (prompt, output) = lengths.sample(spec, random)
+        return Request(
+            number,
+            organisation,
+            spec,
+            host(random),
+            at,
+            prompt,
+            output,
+            prefixes(number, organisation, spec, prompt, random),
+        )
+    }
+
+    /** Pieces of the shared prefix have the same hashes in many requests, the others are unique. */
+    private fun prefixes(
+        number: Int,
+        organisation: OrganisationSpec,
+        spec: RequestSpec,
+        prompt: Int,
+        random: Random,
+    ): List<Long> {
+        val variant = random.nextInt(spec.prefixes.coerceAtLeast(1))
+        return List(prompt / PIECE_TOKENS) { piece ->
+            val shared = (piece + 1) * PIECE_TOKENS <= spec.sharedTokens
+            val name = if (shared) "${organisation.name}/${spec.name}/$variant/$piece" else "$number/$piece"
+            name.hashCode().toLong() * HASH_FACTOR + piece
+        }
+    }
+
+    private fun host(random: Random): HostSpec {
+        var left = random.nextDouble() * workload.hosts.sumOf { it.weight }
+        return workload.hosts.firstOrNull {
+            left -= it.weight
+            left < 0
+        } ?: workload.hosts.last()
+    }
+
+    private companion object {
+        const val HASH_FACTOR = 1_000_003L
+    }
+}
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Bound.kt
@@ -0,0 +1,50 @@
+package io.anvilvalve.bench.policy
+
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.release.Role
+import java.util.PriorityQueue
+
+/**
+ * Upper bound on goodput: one omniscient queue per pool in front of all its prefill workers joined to one, with warm
+ * prefix caches, and all its paced decode slots.
+ *
+ * It knows answer lengths and slot times, so that it wastes nothing and starts only what meets its deadline.
+ */
+internal class Bound(workload: Workload, private val model: String) {
+    private val prefills = workload.workers.filter { it.model == model && it.role == Role.PREFILL }
+    private val decodes = workload.workers.filter { it.model == model && it.role == Role.DECODE }
+    private val slots = decodes.sumOf { it.pacedSlots() }
+    private val stepMicros =
+        slots / decodes.filter { it.pacedSlots() > 0 }.sumOf { it.pacedSlots() / it.stepMicros(it.pacedSlots()) }
+    private val slotFreeAt = PriorityQueue<Long>().apply { repeat(slots) { add(0L) } }
+
+    /** Marks those of [arrivals] that are served in time. */
+    fun serve(arrivals: List<Request>) {
+        val waiting = PriorityQueue<Request>(compareBy({ it.spec.workClass == WorkClass.BATCH }, { it.number }))
+        val pending = ArrayDeque(arrivals.filter { it.spec.model == model })
+        var now = 0L
+        while (pending.isNotEmpty() || waiting.isNotEmpty()) {
+            if (waiting.isEmpty()) now = maxOf(now, pending.first().arrivedAt)
+            while (pending.isNotEmpty() && pending.first().arrivedAt <= now) waiting.add(pending.removeFirst())
+            now = start(waiting.poll() ?: continue, now)
+        }
+    }
+
+    /** Runs [request] if its first token is in time, and returns the time at which the prefill workers are free. */
+    private fun start(request: Request, now: Long): Long {
+        val readyAt = now + prefillMicros(request)
+        val decodeAt = maxOf(readyAt, slotFreeAt.peek())
+        request.refused = decodeAt + stepMicros > request.deadline
+        if (request.refused) return now
+        slotFreeAt.poll()
+        slotFreeAt.add(decodeAt + (request.outputTokens * stepMicros).toLong())
+        request.firstTokenAt = decodeAt + stepMicros.toLong()
+        request.finishedAt = request.firstTokenAt + ((request.outputTokens - 1) * stepMicros).toLong()
+        return readyAt
+    }
+
+    private fun prefillMicros(request: Request): Long {
+        val tokens = (request.promptTokens - request.cacheableTokens).coerceAtLeast(1)
+        return (1 / prefills.sumOf { 1 / it.prefillMicros(tokens) }).toLong()
+    }
+}
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Capacity.kt
@@ -0,0 +1,92 @@
+package io.anvilvalve.bench.policy
+
+import io.anvilvalve.api.release.Role
+import kotlin.math.exp
+import kotlin.random.Random
+
+/**
+ * Capacity of each pool for the workload's mix of requests, with warm prefix caches and every decode slot in use.
+ *
+ * @property organisations organisations in the file's order; [rate] of each is its request rate at load 1.
+ */
+internal class Capacity(private val workload: Workload) {
+    private val lengths = Lengths(workload)
+
+    /** Requests per second of [organisation] with kind [spec] when its pool is offered its capacity. */
+    fun rate(organisation: OrganisationSpec, spec: RequestSpec): Double =
+        scale.getValue(spec.model) * organisation.share * (organisation.mix[spec.name] ?: 0.0)
+
+    /** Token cost per second that the pool of [model] serves at capacity. */
+    fun tokens(model: String): Double = workload.organisations.sumOf { tokens(it, model) }
+
+    /** Token cost per second of [organisation] at load 1. */
+    fun tokens(organisation: OrganisationSpec, model: String): Double =
+        kinds(model).sumOf { rate(organisation, it) * means.getValue(it.name).tokens }
+
+    private val means = workload.requests.mapValues { (_, spec) -> mean(spec) }
+    private val scale = workload.models.associateWith { scale(it) }
+
+    private fun kinds(model: String) = workload.requests.values.filter { it.model == model }
+
+    /** Requests per second and unit of share at which the bottleneck of the pool is fully used. */
+    private fun scale(model: String): Double {
+        val weighted = kinds(model).map { kind ->
+            workload.organisations.sumOf { it.share * (it.mix[kind.name] ?: 0.0) } to means.getValue(kind.name)
+        }
+        val prefillNeed = weighted.sumOf { (weight, mean) -> weight * mean.prefillTokens }
+        val overheadNeed = weighted.sumOf { (weight, _) -> weight }
+        val decodeNeed = weighted.sumOf { (weight, mean) -> weight * mean.outputTokens }
+        val prefills = workload.workers.filter { it.model == model && it.role == Role.PREFILL }
+        val decodes = workload.workers.filter { it.model == model && it.role == Role.DECODE }
+        // Each prefill worker serves requests at the rate 1 / (time of the mean request).
+        val prefillScale = prefills.sumOf {
+            MICROS_PER_SECOND / it.prefillMicros((prefillNeed / overheadNeed).toInt())
+        } / overheadNeed
+        return minOf(prefillScale, decodes.sumOf { decodeRate(it) } / decodeNeed)
+    }
+
+    private fun decodeRate(worker: WorkerSpec): Double {
+        val running = worker.pacedSlots()
+        return if (running == 0) 0.0 else running * MICROS_PER_SECOND / worker.stepMicros(running)
+    }
+
+    private fun mean(spec: RequestSpec): Mean {
+        val random = Random(SAMPLE_SEED)
+        val samples = List(SAMPLES) { lengths.sample(spec, random) }
+        val cached = spec.sharedTokens / PIECE_TOKENS * PIECE_TOKENS
+        return Mean(
+            samples.map { (prompt, _) -> (prompt - cached).coerceAtLeast(1) }.average(),
+            samples.map { (_, output) -> output }.average(),
+            samples.map { (prompt, output) -> prompt + output }.average(),
+        )
+    }
+
+    private class Mean(val prefillTokens: Double, val outputTokens: Double, val tokens: Double)
+
+    private companion object {
+        const val SAMPLES = 20_000
+        const val SAMPLE_SEED = 1
+    }
+}
+
+/** Draws prompt and answer lengths. */
+internal class Lengths(private val workload: Workload) {
+    fun sample(spec: RequestSpec, random: Random): Pair<Int, Int> {
+        val prompt = draw(spec.prompt, random).coerceAtLeast(spec.sharedTokens + 1)
+        return prompt to draw(spec.output, random).coerceIn(1, spec.maxTokens)
+    }
+
+    /** Multiplicative noise of a prefill time. */
+    fun noise(random: Random): Double = exp(workload.prefillNoise * random.gaussian())
+
+    private fun draw(length: LengthSpec, random: Random): Int =
+        (length.median * exp(length.sigma * random.gaussian())).toInt().coerceIn(MIN_TOKENS, length.limit)
+
+    private fun Random.gaussian(): Double = asJava().nextGaussian()
+
+    private fun Random.asJava() = java.util.Random(nextLong())
+
+    private companion object {
+        const val MIN_TOKENS = 10
+    }
+}
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Measures.kt
@@ -0,0 +1,50 @@
+package io.anvilvalve.bench.policy
+
+/** Derives the metrics from the requests that arrived after the warm-up. */
+internal class Measures(
+    private val workload: Workload,
+    private val capacity: Capacity,
+    private val load: Double,
+    arrivals: List<Request>,
+) {
+    private val counted = arrivals.filter { it.arrivedAt >= workload.warmupMicros }
+    private val seconds = (workload.durationMicros - workload.warmupMicros) / MICROS_PER_SECOND
+
+    fun goodput(): Double = counted.filter { it.good }.sumOf { it.cost }.toDouble()
+
+    fun goodputRatio(): Double = ratio(goodput(), counted.sumOf { it.cost }.toDouble())
+
+    fun worstOrganisationRatio(): Double {
+        val fair = workload.models.map { fairShares(it) }
+        return workload.organisations.minOf { organisation ->
+            val good = counted.filter { it.good && it.organisation === organisation }.sumOf { it.cost }.toDouble()
+            ratio(good, fair.sumOf { it.getValue(organisation.name) })
+        }
+    }
+
+    fun refusedWithinRateRatio(): Double {
+        val within = counted.filter { load * it.organisation.rateFactor <= 1.0 }
+        return ratio(within.count { it.refused }.toDouble(), within.size.toDouble())
+    }
+
+    /** Max-min fair division of the capacity of the pool of [model] by what organisations asked of it. */
+    private fun fairShares(model: String): Map<String, Double> {
+        val demands = workload.organisations.associate { organisation ->
+            val own = counted.filter { it.spec.model == model && it.organisation === organisation }
+            organisation.name to own.sumOf { it.cost }.toDouble()
+        }
+        var left = capacity.tokens(model) * seconds
+        val shares = HashMap<String, Double>()
+        demands.entries.sortedBy { it.value }.forEachIndexed { index, (name, demand) ->
+            val share = minOf(demand, left / (demands.size - index))
+            shares[name] = share
+            left -= share
+        }
+        return shares
+    }
+
+    companion object {
+        /** [part] of [whole], from 0 to 1; 1 of nothing is nothing lost. */
+        fun ratio(part: Double, whole: Double): Double = if (whole <= 0.0) 0.0 else (part / whole).coerceIn(0.0, 1.0)
+    }
+}
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PolicyCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PolicyCommand.kt
@@ -2,21 +2,69 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.path
+import kotlinx.serialization.json.Json
+import java.nio.file.Path
+import java.util.Locale
+import kotlin.io.path.Path
+import kotlin.io.path.isDirectory
+import kotlin.io.path.listDirectoryEntries
 
 /** `anvilvalve-bench policy`: the four policy metrics, in virtual time. */
 internal class PolicyCommand : CliktCommand(name = "policy") {
-    private val workload by option("--workload", help = "workload file").path(mustExist = true, canBeDir = false)
+    private val workloads by option("--workload", help = "workload file; repeatable, default bench/workloads/*.ini")
+        .path(mustExist = true, canBeDir = false).multiple()
     private val seed by option("--seed", help = "seed of the arrivals").long().default(1)
-    private val policies by option("--policy", help = "policy to run; repeatable, default all").multiple()
+    private val policies by option("--policy", help = "policy to run; repeatable, default all")
+        .choice(*PolicyRun.POLICIES.toTypedArray()).multiple(PolicyRun.POLICIES)
     private val json by option("--json", help = "write one JSON object per line").flag()
 
     override fun help(context: Context): String = "Measures scheduling policies on a workload."
 
-    override fun run() = Unit
+    override fun run() {
+        if (!json) echo(HEADER)
+        for (file in workloads.ifEmpty { defaults() }) {
+            for (workload in WorkloadFile(file).variants()) {
+                val run = PolicyRun(workload, seed)
+                workload.loads.forEach { load -> policies.forEach { write(run.measure(it, load)) } }
+            }
+        }
+    }
+
+    private fun defaults(): List<Path> {
+        if (!DIRECTORY.isDirectory()) throw UsageError("no --workload, and $DIRECTORY does not exist here")
+        return DIRECTORY.listDirectoryEntries("*.ini").sorted()
+    }
+
+    private fun write(result: PolicyResult) = echo(
+        if (json) {
+            Json.encodeToString(PolicyResult.serializer(), result)
+        } else {
+            result.run {
+                "%-28s %4.1f %-8s %8.4f %8.4f %8.4f %8.4f %8.4f".format(
+                    Locale.ROOT,
+                    workload,
+                    load,
+                    policy,
+                    goodputRatio,
+                    boundRatio,
+                    wastedPrefillRatio,
+                    worstOrganisationRatio,
+                    refusedWithinRateRatio,
+                )
+            }
+        },
+    )
+
+    private companion object {
+        val DIRECTORY = Path("bench/workloads")
+        const val HEADER = "workload                     load policy    goodput  / bound   wasted    worst  refused"
+    }
 }
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PolicyRun.kt
@@ -0,0 +1,66 @@
+package io.anvilvalve.bench.policy
+
+/** Runs policies on one workload. */
+internal class PolicyRun(private val workload: Workload, private val seed: Long) {
+    private val spread = spreadSpeeds(workload)
+    private val capacity = Capacity(spread)
+    private val arrivals = Arrivals(spread, capacity)
+
+    fun measure(policy: String, load: Double): PolicyResult {
+        val bound = Measures(spread, capacity, load, bound(load))
+        val run = if (policy == BOUND) Outcome(bound(load), 0.0) else simulate(policy, load)
+        val measures = Measures(spread, capacity, load, run.requests)
+        return PolicyResult(
+            workload = spread.name,
+            load = load,
+            policy = policy,
+            goodputRatio = measures.goodputRatio(),
+            boundRatio = Measures.ratio(measures.goodput(), bound.goodput()),
+            wastedPrefillRatio = run.wastedPrefill,
+            worstOrganisationRatio = measures.worstOrganisationRatio(),
+            refusedWithinRateRatio = measures.refusedWithinRateRatio(),
+        )
+    }
+
+    private fun bound(load: Double): List<Request> = arrivals.draw(load, seed).also { requests ->
+        spread.models.forEach { Bound(spread, it).serve(requests) }
+    }
+
+    private fun simulate(name: String, load: Double): Outcome {
+        val simulation = Simulation()
+        val cluster = Cluster(spread, simulation, seed)
+        val hosts = EntryHosts(spread, simulation, cluster)
+        val policy = policy(name, simulation, hosts)
+        hosts.policy = policy
+        cluster.start(policy)
+        val requests = arrivals.draw(load, seed)
+        requests.forEach { simulation.after(it.arrivedAt) { hosts.arrive(it) } }
+        simulation.run()
+        val computed = cluster.prefills.values.sumOf { it.computedTokens }.toDouble()
+        return Outcome(requests, Measures.ratio(computed - hosts.decodedPrefillTokens, computed))
+    }
+
+    private fun policy(name: String, simulation: Simulation, hosts: EntryHosts): Policy = when (name) {
+        "naive" -> NaivePolicy(spread, hosts)
+        "v1" -> TwoChoicesPolicy(spread, hosts, seed)
+        "v2" -> CentralCountsPolicy(spread, simulation, hosts)
+        "current" -> SchedulerPolicy(spread, simulation, hosts).apply { start() }
+        else -> error("unknown policy $name")
+    }
+
+    private class Outcome(val requests: List<Request>, val wastedPrefill: Double)
+
+    companion object {
+        const val BOUND = "bound"
+        val POLICIES = listOf("naive", "v1", "v2", "current", BOUND)
+
+        /** Makes every other worker slower by the factor of the workload. */
+        private fun spreadSpeeds(workload: Workload): Workload {
+            if (workload.speedSpread == 1.0) return workload
+            val workers = workload.workers.mapIndexed { index, worker ->
+                if (index % 2 == 0) worker else worker.copy(speed = worker.speed / workload.speedSpread)
+            }
+            return workload.copy(workers = workers)
+        }
+    }
+}
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PrefillEngine.kt
@@ -0,0 +1,87 @@
+package io.anvilvalve.bench.policy
+
+import io.anvilvalve.api.port.CacheEvent
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** Fake prefill engine: one prompt at a time by priority, a prefix cache, and results that expire. */
+internal class PrefillEngine(
+    val spec: WorkerSpec,
+    private val simulation: Simulation,
+    private val lengths: Lengths,
+    private val random: Random,
+) {
+    private val waiting = PriorityQueue<Job>(compareBy({ it.priority }, { it.number }))
+    private val cache = object : LinkedHashMap<Long, Unit>(INITIAL_SIZE, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, Unit>): Boolean {
+            val full = size > spec.cachePieces
+            if (full) changed(eldest.key, stored = false)
+            return full
+        }
+    }
+    private var current: Job? = null
+    private var number = 0L
+    private var incarnation = 0
+    private var eventSequence = 0L
+
+    val link = Link(spec.linkBytesPerSecond)
+    val cacheEvents = ArrayList<CacheEvent>()
+    var speed = 1.0
+    val running: Int get() = if (current == null) 0 else 1
+    val queued: Int get() = waiting.size
+
+    /** Prompt tokens computed. */
+    var computedTokens = 0L
+        private set
+
+    /** Computes the prompt of [request]; [done] gets the time spent, or null when the process died. */
+    fun prefill(request: Request, priority: Int, done: (Long?) -> Unit) {
+        if (speed == 0.0) return done(null)
+        waiting.add(Job(request, priority, number++, done))
+        startNext()
+    }
+
+    /** Kills the process: all work fails and the cache is lost. */
+    fun kill() {
+        incarnation++
+        val lost = listOfNotNull(current) + waiting
+        current = null
+        waiting.clear()
+        cache.clear()
+        lost.forEach { it.done(null) }
+    }
+
+    private fun startNext() {
+        if (current != null) return
+        val job = waiting.poll() ?: return
+        current = job
+        val started = incarnation
+        val hits = job.request.prefixHashes.takeWhile { it in cache }.size
+        val tokens = (job.request.promptTokens - hits * PIECE_TOKENS).coerceAtLeast(1)
+        val micros = (spec.prefillMicros(tokens) * lengths.noise(random) / speed).toLong()
+        simulation.after(micros) {
+            if (incarnation == started) finish(job, micros)
+        }
+    }
+
+    private fun finish(job: Job, micros: Long) {
+        current = null
+        computedTokens += job.request.promptTokens
+        job.request.prefixHashes.forEach { hash ->
+            if (cache.put(hash, Unit) == null) changed(hash, stored = true)
+        }
+        startNext()
+        job.done(micros)
+    }
+
+    private fun changed(hash: Long, stored: Boolean) {
+        cacheEvents.add(CacheEvent(eventSequence++, stored, hash))
+    }
+
+    private class Job(val request: Request, val priority: Int, val number: Long, val done: (Long?) -> Unit)
+
+    private companion object {
+        const val INITIAL_SIZE = 64
+        const val LOAD_FACTOR = 0.75f
+    }
+}
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Request.kt
@@ -0,0 +1,35 @@
+package io.anvilvalve.bench.policy
+
+/**
+ * One request of a run and what became of it. Times are in microseconds.
+ *
+ * @property cost tokens of prompt and answer, the unit of goodput and of fair shares.
+ */
+internal class Request(
+    val number: Int,
+    val organisation: OrganisationSpec,
+    val spec: RequestSpec,
+    val host: HostSpec,
+    val arrivedAt: Long,
+    val promptTokens: Int,
+    val outputTokens: Int,
+    val prefixHashes: List<Long>,
+) {
+    val cost: Int = promptTokens + outputTokens
+    val deadline: Long = arrivedAt + spec.deadlineMicros
+
+    /** Shared tokens that a warm prefix cache saves. */
+    val cacheableTokens: Int = prefixHashes.take(spec.sharedTokens / PIECE_TOKENS).size * PIECE_TOKENS
+
+    var attempt = 0
+    var delivered = 0
+    var firstTokenAt = 0L
+    var finishedAt = 0L
+    var refused = false
+    var failed = false
+
+    /** Whether both latency targets were met. */
+    val good: Boolean
+        get() = finishedAt > 0 && firstTokenAt <= deadline &&
+            finishedAt - firstTokenAt <= TOKEN_GAP_MICROS * (outputTokens - 1).coerceAtLeast(1)
+}
