Add the peer transport and the tests of the network module

Cause: hosts exchange frames directly. Conclusion: closing the transport returned before the port was free; it now waits, found by the restart test.

--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/KtorPeerTransport.kt
@@ -0,0 +1,122 @@
+package io.anvilvalve.net
+
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerFrame
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.awaitClosed
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+/**
+ * Peers over TCP; every host dials the hosts that it sends to and only reads from connections that it accepted.
+ *
+ * @param port TCP port; 0 takes a free one.
+ * @param secret secret that all hosts share; it proves that a peer belongs to the fleet, not which host it is.
+ * @param sendQueue frames that wait for one peer.
+ */
+class KtorPeerTransport(
+    private val bindAddress: String,
+    private val port: Int,
+    secret: ByteArray,
+    private val sendQueue: Int = 1_024,
+    private val random: Random = Random.Default,
+) : PeerTransport {
+    private val job = SupervisorJob()
+    private val scope = CoroutineScope(job + Dispatchers.IO)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val handshake = PeerHandshake(secret)
+    private val links = ConcurrentHashMap<String, PeerLink>()
+    private val accepted = AtomicInteger()
+
+    private var server: ServerSocket? = null
+
+    @Volatile
+    private var refused: (String) -> Unit = {}
+
+    override fun start(receive: (PeerFrame) -> Unit, refused: (String) -> Unit): Int {
+        this.refused = refused
+        val bound = runBlocking { aSocket(selector).tcp().bind(bindAddress, port) { reuseAddress = true } }
+        server = bound
+        scope.launch { accept(bound, receive) }
+        return (bound.localAddress as InetSocketAddress).port
+    }
+
+    override fun send(to: Member, frame: PeerFrame) {
+        val bytes = PeerFrames.encode(frame)
+        if (bytes == null) refused("own frame for ${to.host} exceeds the limit") else link(to.address).send(bytes)
+    }
+
+    /** Returns when the port is free again, so that a restart can bind it. */
+    override fun close() {
+        runBlocking {
+            job.cancelAndJoin()
+            server?.run {
+                close()
+                awaitClosed()
+            }
+        }
+        selector.close()
+    }
+
+    private fun link(address: String): PeerLink = links.computeIfAbsent(address) {
+        val host = address.substringBeforeLast(":").removeSurrounding("[", "]")
+        val link =
+            PeerLink(host, address.substringAfterLast(":").toInt(), selector, handshake, sendQueue, random, refused)
+        scope.launch {
+            link.run()
+            links.remove(address, link)
+        }
+        link
+    }
+
+    private suspend fun CoroutineScope.accept(server: ServerSocket, receive: (PeerFrame) -> Unit) = server.use {
+        while (isActive) {
+            val socket = server.accept()
+            if (accepted.incrementAndGet() > MAX_ACCEPTED) {
+                accepted.decrementAndGet()
+                socket.close()
+                refused("more than $MAX_ACCEPTED connections")
+            } else {
+                launch { serve(socket, receive) }
+            }
+        }
+    }
+
+    private suspend fun serve(socket: Socket, receive: (PeerFrame) -> Unit) = socket.use {
+        try {
+            val input = socket.openReadChannel()
+            val output = socket.openWriteChannel(autoFlush = false)
+            val proved = withTimeoutOrNull(PeerLink.CONNECT_LIMIT) { handshake.listen(input, output) }
+            if (proved != true) return@use refused("peer ${socket.remoteAddress} did not prove the secret")
+            while (true) {
+                val frame = PeerFrames.read(input) ?: break
+                frame.fold({ return@use refused("peer ${socket.remoteAddress}: $it") }, receive)
+            }
+        } catch (e: IOException) {
+            refused("peer connection: $e")
+        } finally {
+            accepted.decrementAndGet()
+        }
+    }
+
+    private companion object {
+        /** Three times the hosts of the target size; a host that reconnects may hold two for a while. */
+        const val MAX_ACCEPTED = 1_050
+    }
+}
--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/PeerLink.kt
@@ -0,0 +1,110 @@
+package io.anvilvalve.net
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.exhausted
+import io.ktor.utils.io.writeByteArray
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Sends frames to one peer; connects when there is something to send, and again after a failure.
+ *
+ * When the queue is full the oldest frame is dropped, because a newer one makes it obsolete more often than not.
+ */
+internal class PeerLink(
+    private val host: String,
+    private val port: Int,
+    private val selector: SelectorManager,
+    private val handshake: PeerHandshake,
+    queueSize: Int,
+    private val random: Random,
+    private val refused: (String) -> Unit,
+) {
+    private val queue = Channel<ByteArray>(queueSize, BufferOverflow.DROP_OLDEST)
+
+    fun send(bytes: ByteArray) {
+        queue.trySend(bytes)
+    }
+
+    /** Runs until nothing has been sent for [IDLE_LIMIT]. */
+    suspend fun run() {
+        var failures = 0
+        while (true) {
+            val first = withTimeoutOrNull(IDLE_LIMIT) { queue.receive() } ?: return
+            val sentAny = connected(first)
+            failures = if (sentAny) 0 else failures + 1
+            if (failures > 0) delay(backOff(failures, random))
+        }
+    }
+
+    /** Returns whether the peer was reached. */
+    private suspend fun connected(first: ByteArray): Boolean {
+        var reached = false
+        try {
+            val socket = withTimeoutOrNull(CONNECT_LIMIT) { connect() } ?: return false
+            socket.use {
+                val input = socket.openReadChannel()
+                val output = socket.openWriteChannel(autoFlush = false)
+                reached = withTimeoutOrNull(CONNECT_LIMIT) { handshake.dial(input, output) } == true
+                if (reached) sendAll(first, input, output) else refused("peer $host:$port did not prove the secret")
+            }
+        } catch (e: IOException) {
+            if (!reached) refused("peer $host:$port: $e")
+        }
+        return reached
+    }
+
+    private suspend fun connect(): Socket = aSocket(selector).tcp().connect(host, port)
+
+    private suspend fun sendAll(first: ByteArray, input: ByteReadChannel, output: ByteWriteChannel) = coroutineScope {
+        closeAtEnd(input)
+        output.writeByteArray(first)
+        while (true) {
+            val next = queue.tryReceive().getOrNull() ?: awaitNext(output) ?: break
+            output.writeByteArray(next)
+        }
+        coroutineContext.cancelChildren()
+    }
+
+    private suspend fun awaitNext(output: ByteWriteChannel): ByteArray? {
+        output.flush()
+        return withTimeoutOrNull(IDLE_LIMIT) { queue.receive() }
+    }
+
+    /** Peers send nothing on a connection that they accepted, so its end shows that they have closed it. */
+    private fun CoroutineScope.closeAtEnd(input: ByteReadChannel) = launch {
+        if (input.exhausted()) throw IOException("closed by the peer")
+    }
+
+    companion object {
+        val CONNECT_LIMIT = 2.seconds
+        val IDLE_LIMIT = 1.minutes
+        private val MIN_BACK_OFF = 50.milliseconds
+        private val MAX_BACK_OFF = 5.seconds
+        private const val MAX_DOUBLINGS = 7
+
+        /** Wait after [failures] failures in a row: doubles up to a cap, and half of it is random. */
+        fun backOff(failures: Int, random: Random): Duration {
+            val limit = minOf(MIN_BACK_OFF * (1 shl minOf(failures, MAX_DOUBLINGS)), MAX_BACK_OFF)
+            return limit / 2 + random.nextLong(limit.inWholeMilliseconds / 2 + 1).milliseconds
+        }
+    }
+}
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/PeerTransport.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/PeerTransport.kt
@@ -5,8 +5,13 @@
 
 /** Sends and receives frames between entry hosts; frames may be lost. */
 interface PeerTransport : AutoCloseable {
-    /** Listens, hands every frame of an authenticated peer to [receive], and returns the bound port. */
-    fun start(receive: (PeerFrame) -> Unit): Int
+    /**
+     * Listens and returns the bound port.
+     *
+     * @param receive takes every frame of an authenticated peer.
+     * @param refused told why a connection was refused or closed.
+     */
+    fun start(receive: (PeerFrame) -> Unit, refused: (String) -> Unit): Int
 
     /** Queues [frame] for [to]; never blocks. */
     fun send(to: Member, frame: PeerFrame)
--- /dev/null
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/KtorPeerTransportSpec.kt
@@ -0,0 +1,104 @@
+package io.anvilvalve.net
+
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerFrame
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** Guards against frames from strangers, from hostile connections, and against peers that stay cut off. */
+class KtorPeerTransportSpec :
+    FunSpec({
+        class Peer(secret: String, port: Int = 0) : AutoCloseable {
+            val frames = LinkedBlockingQueue<PeerFrame>()
+            val faults = LinkedBlockingQueue<String>()
+            val transport = KtorPeerTransport("127.0.0.1", port, secret.toByteArray())
+            val port = transport.start({ frames += it }, { faults += it })
+            val member =
+                Member(HostId("h"), Incarnation("i"), "127.0.0.1:${this.port}", DataCentreId("d"), RegionId("r"))
+
+            override fun close() = transport.close()
+        }
+
+        fun <T> LinkedBlockingQueue<T>.next(): T = poll(30, TimeUnit.SECONDS) ?: error("nothing came")
+
+        test("frames arrive in order") {
+            Peer("shared").use { a ->
+                Peer("shared").use { b ->
+                    repeat(100) { a.transport.send(b.member, probe(it.toLong())) }
+                    repeat(100) { b.frames.next() shouldBe probe(it.toLong()) }
+                }
+            }
+        }
+
+        test("a peer with another secret is refused at both ends and none of its frames is taken") {
+            Peer("shared").use { a ->
+                Peer("other").use { b ->
+                    a.transport.send(b.member, probe(1))
+                    a.faults.next() shouldContain "did not prove the secret"
+                    b.faults.next()
+                    b.frames.isEmpty() shouldBe true
+                }
+            }
+        }
+
+        listOf(
+            "noise" to Random(5).nextBytes(200),
+            "a request of another protocol" to "GET / HTTP/1.1\r\n\r\n".toByteArray(),
+        )
+            .forEach { (name, bytes) ->
+                test("a connection that sends $name is closed and others go on") {
+                    Peer("shared").use { a ->
+                        Socket("127.0.0.1", a.port).use { socket ->
+                            socket.getOutputStream().write(bytes)
+                            socket.getInputStream().read() shouldBe -1
+                        }
+                        Peer("shared").use { b ->
+                            b.transport.send(a.member, probe(1))
+                            a.frames.next() shouldBe probe(1)
+                        }
+                    }
+                }
+            }
+
+        test("a peer that restarts at its port is reached again") {
+            Peer("shared").use { a ->
+                val first = Peer("shared")
+                a.transport.send(first.member, probe(1))
+                first.frames.next() shouldBe probe(1)
+                first.close()
+                Peer("shared", first.port).use { second ->
+                    // Frames may be lost while the old connection is still taken for open.
+                    val arrived = generateSequence { second.frames.poll(20, TimeUnit.MILLISECONDS) ?: PENDING }
+                        .take(MAX_SENDS)
+                        .onEach { if (it === PENDING) a.transport.send(second.member, probe(2)) }
+                        .first { it !== PENDING }
+                    arrived shouldBe probe(2)
+                }
+            }
+        }
+
+        test("the wait between attempts doubles up to a cap and is never below half of it") {
+            val random = Random(seed = 2)
+            (1..40).forEach { failures ->
+                val millis = PeerLink.backOff(failures, random).inWholeMilliseconds.toInt()
+                val limit = minOf(50 shl minOf(failures, 7), 5_000)
+                millis shouldBeLessThanOrEqual limit
+                limit / 2 shouldBeLessThanOrEqual millis
+            }
+        }
+    }) {
+    private companion object {
+        val PENDING = probe(-1)
+        const val MAX_SENDS = 1_000
+    }
+}
