--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/DaemonCommand.kt
@@ -0,0 +1,91 @@
+package io.anvilvalve.host
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.path
+import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.net.EngineTimeouts
+import io.anvilvalve.net.HttpClients
+import io.anvilvalve.net.OkHttpBackendServerClient
+import io.anvilvalve.net.OkHttpLiveHostList
+import io.anvilvalve.net.OkHttpLogService
+import io.anvilvalve.settings.HostSettings
+import io.anvilvalve.settings.SettingsFault
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration.Companion.seconds
+
+/** `anvilvalved --config FILE [--check]`. */
+internal class DaemonCommand : CliktCommand("anvilvalved") {
+    private val config by option("--config", metavar = "FILE", help = "settings in INI form").path().required()
+    private val check by option("--check", help = "check the settings and exit").flag()
+
+    /** Set by the first of signal and rules that ends the process. */
+    private val stopping = AtomicBoolean()
+
+    override fun help(context: Context) = "Entry daemon: routes callers' requests to backend servers."
+
+    override fun run() {
+        val settings = HostSettings.load(config).fold(::refuse) { it }
+        if (check) {
+            echo("The settings have no faults.")
+            return
+        }
+        LogSetup.apply(settings.output)
+        val host = entryHost(settings)
+        host.start()
+        Runtime.getRuntime().addShutdownHook(Thread({ stopBySignal(host, settings) }, "stop"))
+        val clean = host.exit.get()
+        if (stopping.compareAndSet(false, true)) {
+            host.close()
+            Runtime.getRuntime().halt(exitCode(clean))
+        }
+    }
+
+    private fun refuse(faults: List<SettingsFault>): Nothing {
+        faults.forEach { echo("${LogEvent.SETTINGS_INVALID.code} $it", err = true) }
+        throw ProgramResult(EXIT_SETTINGS)
+    }
+
+    private fun entryHost(settings: HostSettings): EntryHost {
+        val http = HttpClients.create()
+        val timeouts = with(settings.engines) {
+            EngineTimeouts(prefillTimeout, tokenGapTimeout, controlTimeout, serviceTimeout)
+        }
+        return EntryHost(
+            settings,
+            OkHttpLogService(http, settings.logUrl),
+            OkHttpLiveHostList(http, settings.liveListUrl),
+            OkHttpBackendServerClient(http, timeouts),
+        )
+    }
+
+    /** A JVM that ends by a signal exits with 128 and the signal's number; a planned stop has to exit with 0. */
+    private fun stopBySignal(host: EntryHost, settings: HostSettings) {
+        if (!stopping.compareAndSet(false, true)) return
+        host.drain()
+        val limit = settings.operators.drainDeadline + DRAIN_GRACE
+        val clean = try {
+            host.exit.get(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            false
+        }
+        host.close()
+        Runtime.getRuntime().halt(exitCode(clean))
+    }
+
+    private fun exitCode(clean: Boolean) = if (clean) 0 else EXIT_REMOVED
+
+    private companion object {
+        const val EXIT_REMOVED = 1
+        const val EXIT_SETTINGS = 2
+
+        /** Time after the deadline in which the rules end the remaining requests and leave. */
+        val DRAIN_GRACE = 10.seconds
+    }
+}
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
@@ -9,6 +9,7 @@
 import io.anvilvalve.api.id.RegionId
 import io.anvilvalve.api.id.ReleaseNumber
 import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerFrame
 import io.anvilvalve.api.port.BackendServerClient
 import io.anvilvalve.api.port.LiveHostList
 import io.anvilvalve.api.port.LogService
@@ -18,6 +19,7 @@
 import io.anvilvalve.core.HostEvent
 import io.anvilvalve.core.HostReducer
 import io.anvilvalve.core.HostStatus
+import io.anvilvalve.net.KtorPeerTransport
 import io.anvilvalve.net.PeerTransport
 import io.anvilvalve.settings.HostSettings
 import io.javalin.Javalin
@@ -51,7 +53,7 @@
     private val log: LogService,
     private val liveList: LiveHostList,
     private val backends: BackendServerClient,
-    private val peers: PeerTransport,
+    private val peers: PeerTransport = ktorPeers(settings.peers),
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val clock: Clock = Clock.systemUTC(),
     private val reducer: (HostConfig) -> Reducer<HostEvent, HostEffect> = ::HostReducer,
@@ -67,6 +69,8 @@
     private val scope = CoroutineScope(
         SupervisorJob() + Dispatchers.IO + CoroutineExceptionHandler { _, e -> events.error(e) },
     )
+
+    @Volatile
     private lateinit var loop: HostLoop
     private lateinit var callers: Javalin
     private lateinit var operators: Javalin
@@ -93,7 +97,7 @@
     /** Binds the listeners and starts the loop. */
     fun start() {
         val start = time.markNow()
-        peerPort = peers.start { frame -> loop.offer(HostEvent.FrameReceived(frame), MAX_WAITING_FRAMES) }
+        peerPort = peers.start(::receive) { events.write(LogEvent.PEER_REFUSED, mapOf("reason" to it)) }
         lateinit var runner: EffectRunner
         loop = HostLoop(reducer(config()), start, { runner.perform(it) }, events::error)
         val watcher = ServerWatcher(scope, backends, settings.engines.loadPoll, loop::post)
@@ -125,6 +129,11 @@
         events.write(LogEvent.DAEMON_STOPPED)
     }
 
+    /** Frames may be lost, so those before the loop runs or in a flood are dropped. */
+    private fun receive(frame: PeerFrame) {
+        if (::loop.isInitialized) loop.offer(HostEvent.FrameReceived(frame), MAX_WAITING_FRAMES)
+    }
+
     private fun startListeners() {
         val info = InfoApi(state, metrics)
         val callersApi = CallersApi(settings.callers, table, backends, watch, time, clock, loop::post)
@@ -182,6 +191,11 @@
     )
 
     private companion object {
+        fun ktorPeers(peers: HostSettings.Peers): PeerTransport {
+            val secret = Files.readString(peers.secretFile).trim().toByteArray()
+            return KtorPeerTransport(peers.bindAddress, peers.port, secret, peers.sendQueue)
+        }
+
         const val MAX_SUFFIX = 0x10000
         const val MAX_WAITING_FRAMES = 10_000
         const val WITHDRAW_SECONDS = 5L
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Main.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Main.kt
@@ -1,6 +1,6 @@
 package io.anvilvalve.host
 
-/** Starts the program. */
-fun main(args: Array<String>) {
-    require(args.isEmpty()) { "no arguments are known yet" }
-}
+import com.github.ajalt.clikt.core.main
+
+/** Starts the daemon. */
+fun main(args: Array<String>) = DaemonCommand().main(args)
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/TestHost.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/TestHost.kt
@@ -139,7 +139,7 @@
 }
 
 private object NoPeers : PeerTransport {
-    override fun start(receive: (PeerFrame) -> Unit): Int = 1
+    override fun start(receive: (PeerFrame) -> Unit, refused: (String) -> Unit): Int = 1
 
     override fun send(to: Member, frame: PeerFrame) = Unit
 
