--- a/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/FakeEngine.kt
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/FakeEngine.kt
@@ -231,7 +231,8 @@
         val receiving = link.book(bytes(kv.pieces), now())
         attempt.pause(maxOf(sending, receiving))
         if (faults.stalledTransfers.take()) attempt.ended.await()
-        return network.end(kv) || attempt.end != null
+        // The sender keeps the result of a cancelled import until it is cancelled there too, or expires.
+        return attempt.end != null || network.end(kv)
     }
 
     private suspend fun FlowCollector<Either<BackendFault, TokenChunk>>.stream(
