Add the service-level burn report

Cause: operators need to see how fast each organisation uses up its error budget without a monitoring system of their own.

Change: anvilvalve-report scrape adds samples of the hosts' metrics to a JSON-lines file; show prints error-budget burn over 5 min, 1 h, 6 h and 3 d for both targets, wasted prefill and refusals within rate, as text and as one HTML page with SVG charts.

The check for closed callers of the stand-in servers took bytes of bodies not read yet and made a request wait 30 s for them; bodies are read first.

--- a/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/Main.kt
+++ b/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/Main.kt
@@ -1,6 +1,6 @@
 package io.anvilvalve.report
 
+import com.github.ajalt.clikt.core.main
+
 /** Starts the program. */
-fun main(args: Array<String>) {
-    require(args.isEmpty()) { "no arguments are known yet" }
-}
+fun main(args: Array<String>) = ReportCommand.withSubcommands().main(args)
--- /dev/null
+++ b/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/SampleFile.kt
@@ -0,0 +1,57 @@
+package io.anvilvalve.report
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.nio.ByteBuffer
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption
+import java.nio.file.StandardOpenOption
+import kotlin.io.path.bufferedWriter
+import kotlin.io.path.exists
+import kotlin.io.path.useLines
+
+/** Samples as JSON lines in [path]; a line that a crash cut short is skipped. */
+internal class SampleFile(private val path: Path) {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    fun append(samples: List<Sample>) {
+        val lines = samples.joinToString("") { json.encodeToString(Sample.serializer(), it) + "\n" }
+        // A new line first, so that a line cut short by a crash does not damage the next one.
+        val separator = if (endsInsideLine()) "\n" else ""
+        val options = arrayOf(StandardOpenOption.CREATE, StandardOpenOption.APPEND)
+        Files.writeString(path, separator + lines, *options)
+    }
+
+    /** Returns all samples in the order of their times. */
+    fun read(): List<Sample> {
+        if (!path.exists()) return emptyList()
+        return path.useLines { lines -> lines.mapNotNull(::parse).toList() }.sortedBy { it.atMillis }
+    }
+
+    /** Drops samples from before [beforeMillis]. */
+    fun prune(beforeMillis: Long) {
+        if (!path.exists()) return
+        val kept = path.resolveSibling("${path.fileName}.tmp")
+        kept.bufferedWriter().use { writer ->
+            read().filter { it.atMillis >= beforeMillis }
+                .forEach { writer.appendLine(json.encodeToString(Sample.serializer(), it)) }
+        }
+        Files.move(kept, path, StandardCopyOption.REPLACE_EXISTING)
+    }
+
+    private fun parse(line: String): Sample? = try {
+        json.decodeFromString(Sample.serializer(), line)
+    } catch (_: SerializationException) {
+        null
+    }
+
+    private fun endsInsideLine(): Boolean {
+        if (!path.exists() || Files.size(path) == 0L) return false
+        Files.newByteChannel(path).use { channel ->
+            val last = ByteBuffer.allocate(1)
+            channel.position(channel.size() - 1).read(last)
+            return last.get(0) != '\n'.code.toByte()
+        }
+    }
+}
--- /dev/null
+++ b/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/Scraper.kt
@@ -0,0 +1,31 @@
+package io.anvilvalve.report
+
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import java.io.IOException
+import java.util.concurrent.TimeUnit
+
+/** Reads `/metrics` of hosts; [token] is sent when the operators' listener asks for one. */
+internal class Scraper(private val token: String? = null) {
+    private val client = OkHttpClient.Builder().callTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).build()
+
+    /** Returns one sample per host; a host that does not answer gives one without counters. */
+    fun scrape(hosts: List<String>, atMillis: Long): List<Sample> =
+        hosts.parallelStream().map { host -> scrape(host, atMillis) }.toList()
+
+    private fun scrape(host: String, atMillis: Long): Sample {
+        val request = Request.Builder().url("http://$host/metrics")
+        token?.let { request.header("Authorization", "Bearer $it") }
+        return try {
+            client.newCall(request.build()).execute().use { response ->
+                if (response.isSuccessful) Sample.of(atMillis, host, response.body.string()) else Sample(atMillis, host)
+            }
+        } catch (_: IOException) {
+            Sample(atMillis, host)
+        }
+    }
+
+    private companion object {
+        const val TIMEOUT_SECONDS = 10L
+    }
+}
--- /dev/null
+++ b/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/ServiceBurn.kt
@@ -0,0 +1,28 @@
+package io.anvilvalve.report
+
+/** Burn of one organisation and model. */
+internal class ServiceBurn(val key: ServiceKey, private val totals: Map<Window, Totals>) {
+    fun burn(window: Window, target: Target): Double? = totals.getValue(window).burn(target)
+
+    fun total(window: Window): Totals = totals.getValue(window)
+
+    /** How urgent the burn is; both a short and a long window must agree, so that one bad minute raises nothing. */
+    val state: BurnState
+        get() = Target.entries.maxOf { target ->
+            fun atLeast(window: Window, limit: Double) = (burn(window, target) ?: 0.0) >= limit
+            when {
+                atLeast(Window.FIVE_MINUTES, FAST) && atLeast(Window.ONE_HOUR, FAST) -> BurnState.FAST
+                atLeast(Window.SIX_HOURS, 1.0) && atLeast(Window.THREE_DAYS, 1.0) -> BurnState.OVER_BUDGET
+                atLeast(Window.ONE_HOUR, 1.0) -> BurnState.WATCH
+                else -> BurnState.OK
+            }
+        }
+
+    /** Largest burn of any window and target, for sorting. */
+    val worst: Double get() = Window.entries.maxOf { window -> Target.entries.maxOf { burn(window, it) ?: 0.0 } }
+
+    private companion object {
+        /** Burn that uses up the budget of three days in twelve hours. */
+        const val FAST = 6.0
+    }
+}
--- /dev/null
+++ b/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/Window.kt
@@ -0,0 +1,14 @@
+package io.anvilvalve.report
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+
+/** Time up to now over which burn is reported. */
+internal enum class Window(val length: Duration, val label: String) {
+    FIVE_MINUTES(5.minutes, "5 min"),
+    ONE_HOUR(1.hours, "1 h"),
+    SIX_HOURS(6.hours, "6 h"),
+    THREE_DAYS(3.days, "3 d"),
+}
--- a/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/FakeLogService.kt
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/FakeLogService.kt
@@ -85,8 +85,8 @@
 
     private fun page(from: LogOffset, limit: Int): Either<LogFault, LogPage> {
         val firstRetained = stored.firstOrNull()?.offset ?: endOffset
-        if (from < firstRetained) return LogFault.Truncated(firstRetained).left()
-        val skip = (from.value - firstRetained.value).coerceAtMost(stored.size.toLong()).toInt()
+        if (maxOf(from, LogOffset(0)) < firstRetained) return LogFault.Truncated(firstRetained).left()
+        val skip = (from.value - firstRetained.value).coerceIn(0, stored.size.toLong()).toInt()
         val records = stored.subList(skip, minOf(stored.size, skip + limit)).toList()
         return LogPage(firstRetained, endOffset, records).right()
     }
--- a/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/CallerConnection.kt
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/CallerConnection.kt
@@ -1,13 +1,14 @@
 package io.anvilvalve.standins.http
 
 import io.javalin.http.Context
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import org.eclipse.jetty.io.EndPoint
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.nio.channels.SocketChannel
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration
 
 /** TCP connection of a caller whose request has been read. */
 internal class CallerConnection private constructor(private val endPoint: EndPoint) {
@@ -15,15 +16,14 @@
     fun abort() = endPoint.close()
 
     /**
-     * Returns when the caller has closed the connection, after calling [onClose].
+     * Returns when the caller has closed the connection; checks it every [interval].
      *
      * The server does not read a connection while it answers, so a closed one would only show at the next write.
      * Callers do not send a second request before the answer to the first, so a read finds only the end.
      */
-    suspend fun awaitClose(onClose: () -> Unit) {
-        val channel = endPoint.transport as? SocketChannel ?: return
-        while (!ended(channel)) delay(CHECK_INTERVAL)
-        onClose()
+    suspend fun awaitClose(interval: Duration) {
+        val channel = endPoint.transport as? SocketChannel ?: return awaitCancellation()
+        do delay(interval) while (!ended(channel))
     }
 
     private fun ended(channel: SocketChannel): Boolean = try {
@@ -33,8 +33,6 @@
     }
 
     companion object {
-        private val CHECK_INTERVAL = 50.milliseconds
-
         fun of(ctx: Context): CallerConnection {
             val request = ServletContextRequest.getServletContextRequest(ctx.req())
             return CallerConnection(request.connectionMetaData.connection.endPoint)
--- a/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/StandinServer.kt
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/StandinServer.kt
@@ -8,13 +8,20 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.future.future
 import kotlinx.coroutines.launch
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** HTTP listener of one stand-in on loopback; port 0 takes a free port. */
-class StandinServer internal constructor(requestedPort: Int, routes: RoutesConfig.(StandinServer) -> Unit) :
-    AutoCloseable {
+class StandinServer internal constructor(
+    requestedPort: Int,
+    private val closeCheckInterval: Duration = CLOSE_CHECK_INTERVAL,
+    routes: RoutesConfig.(StandinServer) -> Unit,
+) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
@@ -32,13 +39,21 @@
     val address: String = "$LOOPBACK:$port"
 
     /** Runs [handler] without holding a server thread; it is cancelled when the caller closes the connection. */
-    internal fun answer(ctx: Context, handler: suspend (Context) -> Unit) = ctx.future {
-        scope.future {
-            val connection = CallerConnection.of(ctx)
-            val watch = launch { connection.awaitClose(onClose = { this@future.cancel("the caller is gone") }) }
-            handler(ctx)
-            watch.cancel()
+    internal fun answer(ctx: Context, handler: suspend (Context) -> Unit) {
+        // The context keeps the body; the check for a closed connection would take bytes of one not read yet.
+        ctx.bodyAsBytes()
+        ctx.future { scope.future { answerUntilClosed(ctx, handler) } }
+    }
+
+    private suspend fun answerUntilClosed(ctx: Context, handler: suspend (Context) -> Unit) = coroutineScope {
+        val connection = CallerConnection.of(ctx)
+        val watch = launch {
+            connection.awaitClose(closeCheckInterval)
+            this@coroutineScope.cancel("the caller is gone")
         }
+        handler(ctx)
+        // A check that still ran after the answer would take a byte of the caller's next request.
+        watch.cancelAndJoin()
     }
 
     override fun close() {
@@ -47,6 +62,7 @@
     }
 
     private companion object {
+        val CLOSE_CHECK_INTERVAL = 50.milliseconds
         const val LOOPBACK = "127.0.0.1"
         const val MAX_BODY_BYTES = 16_000_000L
         const val MIN_THREADS = 4
