--- /dev/null
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/CallerClient.kt
@@ -0,0 +1,157 @@
+package io.anvilvalve.demo
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Sends requests as callers do, and again when an answer says that the request was not run. */
+internal class CallerClient(private val http: OkHttpClient) {
+    /** Sends [call] to [hosts] in turn until one runs it. */
+    suspend fun send(hosts: List<DemoHost>, call: ModelCall, onToken: (Int) -> Unit = {}): CallerAnswer {
+        var answer = sendOnce(hosts.first(), call, onToken)
+        var tries = 1
+        while (answer.notRun && answer.status in RETRIED && tries < MAX_TRIES) {
+            delay(RETRY_DELAY)
+            answer = sendOnce(hosts[tries % hosts.size], call, onToken)
+            tries++
+        }
+        return answer
+    }
+
+    /** Sends [call] to [host]. */
+    suspend fun sendOnce(host: DemoHost, call: ModelCall, onToken: (Int) -> Unit = {}): CallerAnswer =
+        withContext(Dispatchers.IO) {
+            val path = if (call.chat) "chat/completions" else "completions"
+            val request = Request.Builder().url("http://${host.callers}/v1/$path")
+                .header("Authorization", "Bearer ${call.tenant.key}")
+                .post(body(call).toRequestBody())
+                .build()
+            val start = TimeSource.Monotonic.markNow()
+            Reading(call, start, onToken).use { it.exchange(request) }.copy(duration = start.elapsedNow())
+        }
+
+    /** Calls a plain service and returns status and body. */
+    suspend fun callService(
+        host: DemoHost,
+        path: String,
+        key: String? = null,
+        idempotencyKey: String? = null,
+    ): Pair<Int, String> = withContext(Dispatchers.IO) {
+        val request = Request.Builder().url("http://${host.callers}/svc/$path").post("{}".toRequestBody())
+        key?.let { request.header("Authorization", "Bearer $it") }
+        idempotencyKey?.let { request.header("Idempotency-Key", it) }
+        http.newCall(request.build()).execute().use { it.code to it.body.string() }
+    }
+
+    private fun body(call: ModelCall): String = buildJsonObject {
+        put("model", call.model.value)
+        put("max_tokens", call.maxTokens)
+        put("stream", call.stream)
+        if (!call.chat) put("prompt", call.text)
+        if (call.chat) {
+            putJsonArray("messages") {
+                addJsonObject {
+                    put("role", "user")
+                    put("content", call.text)
+                }
+            }
+        }
+    }.toString()
+
+    /** Reads one answer. */
+    private inner class Reading(
+        private val call: ModelCall,
+        private val start: TimeSource.Monotonic.ValueTimeMark,
+        private val onToken: (Int) -> Unit,
+    ) : AutoCloseable {
+        private val text = StringBuilder()
+        private var tokens = 0
+        private var firstToken: Duration? = null
+        private var finished = false
+        private var response: Response? = null
+
+        fun exchange(request: Request): CallerAnswer = try {
+            val answer = http.newCall(request).execute().also { response = it }
+            when {
+                answer.code != HTTP_OK -> refused(answer.code, answer.body.string())
+                call.stream -> streamed(answer)
+                else -> whole(answer.body.string())
+            }
+        } catch (e: IOException) {
+            CallerAnswer(response?.code ?: 0, text.toString(), complete = false, error = e.toString())
+        }
+
+        private fun streamed(answer: Response): CallerAnswer {
+            val source = answer.body.source()
+            while (true) {
+                val line = source.readUtf8Line() ?: return answer(complete = false)
+                val data = line.removePrefix("data: ")
+                if (data == line) continue
+                if (data == "[DONE]") return answer(complete = finished)
+                val event = Json.parseToJsonElement(data).jsonObject
+                if ("error" in event) return refused(answer.code, data)
+                take(event)
+                if (tokens == call.cancelAfter) return answer(complete = false)
+            }
+        }
+
+        private fun whole(body: String): CallerAnswer {
+            take(Json.parseToJsonElement(body).jsonObject)
+            return answer(complete = finished)
+        }
+
+        private fun take(event: JsonObject) {
+            val choice = event.getValue("choices").jsonArray.firstOrNull()?.jsonObject ?: return
+            val part = choice["delta"] ?: choice["message"]
+            val content = if (part == null) choice["text"] else part.jsonObject["content"]
+            text.append(content?.jsonPrimitive?.contentOrNull.orEmpty())
+            if (choice["finish_reason"]?.jsonPrimitive?.contentOrNull != null) finished = true
+            if (tokens++ == 0) firstToken = start.elapsedNow()
+            onToken(tokens)
+        }
+
+        private fun answer(complete: Boolean) =
+            CallerAnswer(HTTP_OK, text.toString(), complete, firstToken = firstToken)
+
+        private fun refused(status: Int, body: String): CallerAnswer {
+            val error = Json.parseToJsonElement(body).jsonObject.getValue("error").jsonObject
+            return CallerAnswer(
+                status,
+                text.toString(),
+                complete = false,
+                error = error["code"]?.jsonPrimitive?.contentOrNull,
+                notRun = error["executed"]?.jsonPrimitive?.contentOrNull == "no",
+            )
+        }
+
+        /** Closing an answer that was not read to its end closes the connection. */
+        override fun close() {
+            response?.close()
+        }
+    }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val MAX_TRIES = 40
+        val RETRIED = setOf(429, 503)
+        val RETRY_DELAY = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/DemoHost.kt
@@ -0,0 +1,13 @@
+package io.anvilvalve.demo
+
+import io.anvilvalve.host.EntryHost
+
+/** An entry host with its addresses. */
+internal class DemoHost(val name: String, val host: EntryHost) {
+    val callers: String get() = "$LOOPBACK:${host.callerPort}"
+    val operators: String get() = "$LOOPBACK:${host.operatorPort}"
+
+    companion object {
+        const val LOOPBACK = "127.0.0.1"
+    }
+}
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/Main.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/Main.kt
@@ -1,6 +1,6 @@
 package io.anvilvalve.demo
 
+import com.github.ajalt.clikt.core.main
+
 /** Starts the program. */
-fun main(args: Array<String>) {
-    require(args.isEmpty()) { "no arguments are known yet" }
-}
+fun main(args: Array<String>) = DemoCommand().main(args)
--- /dev/null
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/ModelCall.kt
@@ -0,0 +1,23 @@
+package io.anvilvalve.demo
+
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.standins.AnswerText
+
+/**
+ * A request to a model.
+ *
+ * @property cancelAfter tokens after which the caller closes the connection, or null when it reads the whole answer.
+ */
+internal data class ModelCall(
+    val tenant: Tenant,
+    val model: ModelId,
+    val text: String,
+    val maxTokens: Int,
+    val stream: Boolean = true,
+    val chat: Boolean = true,
+    val cancelAfter: Int? = null,
+) {
+    /** Answer that the engines give; a host turns chat messages into this prompt. */
+    val expected: String
+        get() = AnswerText.answer(model, if (chat) "user: $text\nassistant: " else text, maxTokens)
+}
--- /dev/null
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/Standins.kt
@@ -0,0 +1,44 @@
+package io.anvilvalve.demo
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.release.Role
+import io.anvilvalve.standins.EngineConfig
+import io.anvilvalve.standins.FakeEngine
+import io.anvilvalve.standins.FakeLiveHostList
+import io.anvilvalve.standins.FakeLogService
+import io.anvilvalve.standins.FakePlainService
+import io.anvilvalve.standins.http.HttpKvNetwork
+import io.anvilvalve.standins.http.serveEngine
+import io.anvilvalve.standins.http.serveLiveList
+import io.anvilvalve.standins.http.serveLog
+import io.anvilvalve.standins.http.servePlainService
+
+/** Backend servers and platform services of the demo, each with its HTTP server on loopback. */
+internal class Standins : AutoCloseable {
+    private val network = HttpKvNetwork()
+    val log = FakeLogService()
+    val logServer = serveLog(log)
+    val liveList = FakeLiveHostList()
+    val listServer = serveLiveList(liveList)
+    val service = FakePlainService()
+    val serviceServer = servePlainService(service)
+    val engines: Map<BackendServerId, DemoEngine> =
+        (engines(Role.PREFILL, count = 3) + engines(Role.DECODE, count = 4))
+            .associateBy { BackendServerId(it.engine.name) }
+
+    val decodeEngines: List<DemoEngine> get() = engines.values.filter { it.engine.config.role == Role.DECODE }
+
+    /** Returns the attempts that hold memory in any engine, with the engine's name. */
+    fun held(): List<String> = engines.values.flatMap { demo -> demo.engine.held().map { "${demo.engine.name} $it" } }
+
+    override fun close() {
+        engines.values.forEach { it.server.close() }
+        listOf(logServer, listServer, serviceServer).forEach { it.close() }
+    }
+
+    private fun engines(role: Role, count: Int): List<DemoEngine> = (1..count).map { number ->
+        val config = EngineConfig(role = role, models = DemoRelease.models.associate { it.id to it.version })
+        val engine = FakeEngine("${role.name.lowercase()}-$number", config, network)
+        DemoEngine(engine, serveEngine(engine), DemoRelease.DATA_CENTRES[number % DemoRelease.DATA_CENTRES.size])
+    }
+}
