--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ClaimCoordinator.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ClaimCoordinator.kt
@@ -150,9 +150,9 @@
     private fun decide(claim: Claim, entry: ClaimTable.Entry?, now: Duration) {
         outbox.confirm(claim)
         val waiter = claimants[claim.call]?.takeIf { it.claim?.id == claim.id }
-        val won = entry?.claim?.id == claim.id
+        val won = entry?.claim?.id == claim.id && entry.reply == null
         when {
-            waiter == null -> if (won && !isUnderWay(claim.id) && entry.reply == null) abandon(claim, now)
+            waiter == null -> if (won && !isUnderWay(claim.id)) abandon(claim, now)
 
             !won -> {
                 detach(waiter)
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/EngineProgress.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/EngineProgress.kt
@@ -29,6 +29,9 @@
     /** Time of the last order of this holder for this target. */
     var orderedAt: Duration? = null
 
+    /** Whether the engine has accepted that order. */
+    var accepted = false
+
     val isReached: Boolean get() = observed == target
 
     /** Number of models, versions and adapters that the engine has to load. */
@@ -46,6 +49,7 @@
         if (this.target == target) return
         this.target = target
         orderedAt = null
+        accepted = false
         next(Step.READ, now)
     }
 }
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/OrderIssuer.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/OrderIssuer.kt
@@ -24,6 +24,7 @@
     private val engines = LinkedHashMap<BackendServerId, EngineProgress>()
     private var release = Release()
     private var nextLoad = Duration.ZERO
+    private var nextToLoad: EngineProgress? = null
     private var nextScan = Duration.ZERO
     private var nextNumber = 0L
     private var out = mutableListOf<ReleaseEffect>()
@@ -46,7 +47,7 @@
         }
     }
 
-    /** Forgets what an earlier lease had seen; [held] orders start over with reads. */
+    /** Forgets what was seen under an earlier lease; every engine is read again. */
     fun leaseChanged(now: Duration) {
         nextLoad = now + times.loadSpacing
         engines.keys.toList().forEach { id ->
@@ -58,24 +59,23 @@
         val engine = engines[id]?.takeIf { it.step == Step.READING } ?: return
         engine.observed = state
         engine.readAt = now
-        val reached = engine.isReached
         when {
             state == null -> engine.next(Step.READ, now + times.stateInterval)
 
-            reached -> reached(engine, now)
+            engine.isReached -> reached(engine, now)
 
             isUnderWay(engine, now) -> engine.next(Step.READ, now + times.stateInterval)
 
             else -> {
                 engine.next(Step.WAITING, now)
-                nextScan = now
+                scan(now)
             }
         }
-        scan(now)
     }
 
     fun answered(id: BackendServerId, refused: Boolean?, now: Duration) {
         val engine = engines[id]?.takeIf { it.step == Step.ORDERED } ?: return
+        engine.accepted = refused == false
         if (refused == true) {
             engine.orderedAt = null
             leases.refused(now)
@@ -99,7 +99,7 @@
         if (!leases.mayIssue(now)) return
         nextScan = now + SCAN_INTERVAL
         engines.values.filter { it.step != Step.WAITING && it.due <= now }.take(MAX_READS).forEach { read(it, now) }
-        val capacity = PoolCapacity(engines.values) { isMoving(it, now) }
+        val capacity = PoolCapacity(engines.values) { mayBeMoving(it, now) }
         val waiting = engines.values.filter { it.step == Step.WAITING }
         held = waiting.filterNot { capacity.allows(it) }.map { it.server.id }.toSet()
         waiting.forEach { if (mayOrder(it, capacity, now)) orderOrRead(it, capacity, now) }
@@ -110,9 +110,15 @@
             (engine.loads == 0 || now >= nextLoad) &&
             capacity.allows(engine)
 
-    /** Sends the order when the state was read just now; reads it again otherwise. */
+    /**
+     * Sends the order when the state was read just now; reads it again otherwise.
+     *
+     * A load waits for the load before it, so of the engines that wait for one only the next is read.
+     */
     private fun orderOrRead(engine: EngineProgress, capacity: PoolCapacity, now: Duration) {
         if (now - engine.readAt > SCAN_INTERVAL) {
+            if (engine.loads > 0 && nextToLoad?.step == Step.READING) return
+            if (engine.loads > 0) nextToLoad = engine
             read(engine, now)
             return
         }
@@ -120,6 +126,7 @@
         capacity.leave(engine)
         nextLoad = maxOf(nextLoad, now + times.loadSpacing * engine.loads)
         engine.orderedAt = now
+        engine.accepted = false
         engine.next(Step.ORDERED, now + times.orderTimeout)
         out += ReleaseEffect.SendOrder(engine.server.id, EngineOrder(id, leases.fencing, engine.target))
     }
@@ -129,14 +136,16 @@
         out += ReleaseEffect.ReadState(engine.server.id)
     }
 
-    private fun isUnderWay(engine: EngineProgress, now: Duration): Boolean =
-        engine.orderedAt?.let { now - it < times.moveTimeout } == true
+    /** An order whose answer was lost is repeated sooner than one that the engine has accepted. */
+    private fun isUnderWay(engine: EngineProgress, now: Duration): Boolean {
+        val limit = if (engine.accepted) times.moveTimeout else times.orderTimeout
+        return engine.orderedAt?.let { now - it < limit } == true
+    }
 
     /** An engine off its target may also be moving by an order of the holder before this one. */
-    private fun isMoving(engine: EngineProgress, now: Duration): Boolean {
-        val held = leases.heldSince ?: return true
-        val byPredecessor = leases.hadPredecessor && now - held < times.moveTimeout
-        return isUnderWay(engine, now) || (byPredecessor && !engine.isReached && engine.step != Step.WAITING)
+    private fun mayBeMoving(engine: EngineProgress, now: Duration): Boolean {
+        val byPredecessor = leases.hadPredecessor && leases.heldSince?.let { now - it < times.moveTimeout } == true
+        return engine.orderedAt != null || (byPredecessor && !engine.isReached)
     }
 
     private fun describe(target: EngineTarget): String = "${target.role} ${target.models.entries.sortedBy {
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
@@ -51,7 +51,7 @@
     /** Engines whose role change waits because a pool would fall below the capacity that the release names. */
     val heldEngines: Set<BackendServerId> get() = orders.held
 
-    /** Release in force; withdrawn keys are not in it. */
+    /** Release in force as the log defines it; keys whose withdrawal the log has are not in it. */
     val release: Release get() = state.release
 
     override fun reduce(event: ReleaseEvent, now: Duration): List<ReleaseEffect> {
@@ -65,6 +65,7 @@
 
     /** Returns the state as of [applied]. */
     fun snapshot(): ReleaseSnapshot = state.snapshot().copy(
+        heardWithdrawals = withdrawn.all - state.withdrawnKeys,
         claims = table.keptClaims(now),
         abandonedClaims = table.abandonedClaims(now),
         orderLease = leases.newest,
@@ -150,6 +151,7 @@
         leases.restore(event.state.orderLease)
         releaseChanged()
         event.state.withdrawnKeys.forEach { revoke(it) }
+        event.state.heardWithdrawals.forEach { withdrawalHeard(it) }
         claims.reconsider(now)
     }
 
@@ -191,8 +193,8 @@
         claims.reconsider(now)
     }
 
-    private fun isGone(incarnation: Incarnation): Boolean =
-        incarnation in removed || (members.isNotEmpty() && members.none { it.incarnation == incarnation })
+    private fun isGone(incarnation: Incarnation): Boolean = incarnation != self &&
+        (incarnation in removed || (members.isNotEmpty() && members.none { it.incarnation == incarnation }))
 
     private fun flush() {
         val gatherer = if (gatherClaims) gatherer() else null
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseSnapshot.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseSnapshot.kt
@@ -10,6 +10,8 @@
  * State of the release rules as of a log offset.
  *
  * @property release result of the accepted notes; withdrawn keys are not in it.
+ * @property withdrawnKeys withdrawals that the log has.
+ * @property heardWithdrawals withdrawals that the writer heard of from peers or operators and that the log lacks.
  * @property appliedNotes ids of the last accepted notes, oldest first.
  * @property rejectedNotes ids of the last rejected notes, oldest first.
  * @property claims claims that won, with their replies.
@@ -25,4 +27,5 @@
     val claims: List<KeptClaim> = emptyList(),
     val abandonedClaims: Map<ClaimId, Long> = emptyMap(),
     val orderLease: KeptLease? = null,
+    val heardWithdrawals: Set<KeyHash> = emptySet(),
 )
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseState.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseState.kt
@@ -11,6 +11,9 @@
     var release = Release()
         private set
     private val withdrawn = mutableSetOf<KeyHash>()
+
+    val withdrawnKeys: Set<KeyHash> get() = withdrawn
+
     private val applied = RecentNotes()
     private val rejected = RecentNotes()
 
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/WithdrawnKeys.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/WithdrawnKeys.kt
@@ -8,6 +8,8 @@
 
     operator fun contains(hash: KeyHash): Boolean = hash in hashes
 
+    val all: Set<KeyHash> get() = hashes
+
     /** Adds [hash]; false when it is in the set already. */
     fun add(hash: KeyHash): Boolean = hashes.add(hash)
 }
--- /dev/null
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/EngineFleet.kt
@@ -0,0 +1,247 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.port.EngineOrder
+import io.anvilvalve.api.port.EngineTarget
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.release.Role
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** An engine that needs [MOVE] for an ordered change and serves nothing of what it leaves meanwhile. */
+internal class VirtualEngine(val checksFencing: Boolean, var state: EngineTarget) {
+    var ordered = state
+    var readyAt = Duration.ZERO
+    var newestFencing = -1L
+
+    val serving: EngineTarget get() = if (state.role == ordered.role) state else state.copy(models = emptyMap())
+
+    companion object {
+        val MOVE = 4.seconds
+    }
+}
+
+/** Faults that are injected when an order or a lease is sent; each is used once. */
+internal enum class OrderFault {
+    DEATH,
+    LOST_ANSWER,
+    LOST_REQUEST,
+    LATE,
+    PAUSE,
+    OUTAGE,
+    DOUBLED_LEASE,
+    STATE_UNREADABLE,
+}
+
+/** Faults of the runner, planted to show that the checks catch them. */
+internal enum class OrderPlant { OLD_ORDER, DOUBLED_ORDER, EARLY_MOVE }
+
+/** Hosts, engines and the log, with checks of fencing, capacity and the spacing of loads. */
+internal class EngineFleet(
+    private val release: Release,
+    val engines: Map<BackendServerId, VirtualEngine>,
+    private val faults: MutableList<Pair<Int, OrderFault>>,
+    private val plant: OrderPlant? = null,
+) {
+    private val times = ReleaseTimes()
+
+    private class Host(val incarnation: Incarnation, var rules: ReleaseRules) {
+        var isAlive = true
+        var pausedUntil = Duration.ZERO
+        var position = 0
+        var tails = 0
+    }
+
+    val violations = mutableListOf<String>()
+    var orders = 0
+        private set
+    var now = 1.seconds
+        private set
+    private val records = mutableListOf<LogRecord>()
+    private val later = mutableListOf<Pair<Duration, () -> Unit>>()
+    private val hosts = (0..2).map { Incarnation("h$it") }.map { Host(it, ReleaseRules(it, times = times)) }
+    private var members = hosts.toList()
+    private var downUntil = Duration.ZERO
+    private var lastLoad = -Duration.INFINITE
+
+    init {
+        hosts.forEach { host ->
+            val state = ReleaseSnapshot(release = release)
+            host.rules.reduce(ReleaseEvent.Restored(LogOffset(0), state), now)
+        }
+        records += LogRecord.SlotsReleased(emptyList(), Incarnation("start"))
+        hosts.forEach { it.position = 1 }
+        announce()
+        if (plant == OrderPlant.EARLY_MOVE) {
+            after(1.seconds) { engines.values.take(3).forEach { it.ordered = engines.values.last().state } }
+        }
+    }
+
+    val isDone: Boolean
+        get() = engines.all { (id, engine) -> engine.state == release.targetOf(release.servers.getValue(id)) }
+
+    val held: Set<BackendServerId> get() = hosts.flatMap { it.rules.heldEngines }.toSet()
+
+    fun run(length: Duration) {
+        val until = now + length
+        while (now < until) step()
+    }
+
+    /** Runs until all engines have reached their targets, at most for [length]. */
+    fun runUntilDone(length: Duration) {
+        val until = now + length
+        while (now < until && !isDone) step()
+    }
+
+    private fun step() {
+        now += 100.milliseconds
+        later.filter { it.first <= now }.also { later.removeAll(it) }.forEach { it.second() }
+        engines.values.filter { now >= it.readyAt }.forEach { it.state = it.ordered }
+        hosts.forEach { if (it.isAlive && now >= it.pausedUntil) turn(it) }
+        checkCapacity()
+    }
+
+    /** One turn of a host; after a pause, the first answer of the log is one that waited in the process. */
+    private fun turn(host: Host) {
+        if (host.pausedUntil > Duration.ZERO) {
+            host.pausedUntil = Duration.ZERO
+            reduce(host, ReleaseEvent.TailReached)
+            reduce(host, ReleaseEvent.Tick(0))
+        }
+        if (now >= downUntil && host.tails++ % 5 == 0) {
+            while (host.position < records.size) {
+                val offset = LogOffset(host.position.toLong())
+                reduce(host, ReleaseEvent.RecordApplied(offset, records[host.position++]))
+            }
+            reduce(host, ReleaseEvent.TailReached)
+        }
+        reduce(host, ReleaseEvent.Tick(0))
+    }
+
+    private fun reduce(host: Host, event: ReleaseEvent) {
+        if (!host.isAlive || now < host.pausedUntil) return
+        host.rules.reduce(event, now).forEach { if (host.isAlive) perform(host, it) }
+    }
+
+    private fun perform(host: Host, effect: ReleaseEffect) {
+        when (effect) {
+            is ReleaseEffect.Append -> append(host, effect.records)
+            is ReleaseEffect.ReadState -> {
+                val lost = takeFault(OrderFault.STATE_UNREADABLE)
+                val state = engines.getValue(effect.server).state.takeUnless { lost }
+                after(50.milliseconds) { reduce(host, ReleaseEvent.StateRead(effect.server, state)) }
+            }
+            is ReleaseEffect.SendOrder -> send(host, effect.server, effect.order)
+            else -> Unit
+        }
+    }
+
+    private fun append(host: Host, appended: List<LogRecord>) {
+        val isDown = now < downUntil
+        if (!isDown) {
+            records += appended
+            if (appended.any { it is LogRecord.OrderLease } && takeFault(OrderFault.DOUBLED_LEASE)) {
+                after(20.seconds) { records += appended }
+            }
+        }
+        if (isDown) after(50.milliseconds) { reduce(host, ReleaseEvent.AppendFailed(appended, mayHaveHappened = true)) }
+    }
+
+    private fun send(host: Host, id: BackendServerId, order: EngineOrder) {
+        orders++
+        checkSpacing(id, order)
+        val fault = faults.firstOrNull { it.first <= orders && it.second !in unrelated }
+            ?.also { faults.remove(it) }?.second
+        if (plant == OrderPlant.DOUBLED_ORDER) checkSpacing(id, order)
+        if (plant == OrderPlant.OLD_ORDER) {
+            after(5.seconds) { arrive(host, id, order.copy(fencing = order.fencing - 1), isAnswerLost = true) }
+        }
+        val delay = if (fault == OrderFault.LATE) times.orderTimeout - 100.milliseconds else 50.milliseconds
+        if (fault != OrderFault.LOST_REQUEST) after(delay) { arrive(host, id, order, isAnswerLost = fault != null) }
+        if (fault != null) after(60.milliseconds) { reduce(host, ReleaseEvent.OrderAnswered(id, refused = null)) }
+        when (fault) {
+            OrderFault.DEATH -> remove(host)
+            OrderFault.PAUSE -> pause(host)
+            OrderFault.OUTAGE -> downUntil = now + 20.seconds
+            else -> Unit
+        }
+    }
+
+    private fun pause(host: Host) {
+        host.pausedUntil = now + 40.seconds
+        after(9.seconds) {
+            members = members - host
+            announce()
+        }
+    }
+
+    private fun remove(host: Host) {
+        host.isAlive = false
+        after(9.seconds) {
+            members = members - host
+            announce()
+        }
+    }
+
+    private fun arrive(host: Host, id: BackendServerId, order: EngineOrder, isAnswerLost: Boolean) {
+        val engine = engines.getValue(id)
+        val isOld = order.fencing < engine.newestFencing
+        if (isOld && !engine.checksFencing) violations += "an old order reached $id, which does not check"
+        val refused = isOld && engine.checksFencing
+        if (!refused) {
+            engine.newestFencing = order.fencing
+            if (order.target != engine.ordered) {
+                engine.ordered = order.target
+                engine.readyAt = now + VirtualEngine.MOVE
+            }
+        }
+        if (!isAnswerLost) after(10.milliseconds) { reduce(host, ReleaseEvent.OrderAnswered(id, refused)) }
+    }
+
+    private fun checkSpacing(id: BackendServerId, order: EngineOrder) {
+        val isLoad = order.target.models.any { it !in engines.getValue(id).state.models.entries }
+        if (!isLoad) return
+        if (now - lastLoad < times.loadSpacing) violations += "two loads within ${now - lastLoad}"
+        lastLoad = now
+    }
+
+    private fun checkCapacity() {
+        for (role in Role.entries) {
+            for (model in release.models.keys) {
+                val required = slots(role, model) { release.targetOf(release.servers.getValue(it)) }
+                val available = slots(role, model) { engines.getValue(it).serving }
+                if (available < required) violations += "$role of $model has $available of $required slots at $now"
+            }
+        }
+    }
+
+    private fun slots(role: Role, model: ModelId, state: (BackendServerId) -> EngineTarget): Int =
+        release.servers.values.filter { state(it.id).role == role && model in state(it.id).models }.sumOf { it.slots }
+
+    private fun announce() {
+        val list = members.map {
+            Member(HostId(it.incarnation.value), it.incarnation, "a", DataCentreId("d"), RegionId("r"))
+        }
+        members.forEach { reduce(it, ReleaseEvent.MembersChanged(list, current = true)) }
+    }
+
+    private fun takeFault(fault: OrderFault): Boolean =
+        faults.firstOrNull { it.second == fault }?.let { faults.remove(it) } == true
+
+    private fun after(delay: Duration, action: () -> Unit) {
+        later += now + delay to action
+    }
+
+    private companion object {
+        val unrelated = setOf(OrderFault.DOUBLED_LEASE, OrderFault.STATE_UNREADABLE)
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/InterleavingSpec.kt
@@ -0,0 +1,79 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.KeyHash
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Guards against a second run of a call, a false "not run", and hosts with different releases, in seeded orders of
+ * events with faults.
+ */
+class InterleavingSpec :
+    FunSpec({
+        fun play(seed: Int, plant: Plant? = null): VirtualFleet {
+            val random = Random(seed)
+            val fleet = VirtualFleet(size = 3, FaultPlan.random(random, share = 0.25), random, plant)
+            repeat(250) {
+                val host = random.nextInt(3)
+                when (random.nextInt(16)) {
+                    in 0..2 -> fleet.request(host, "key-${random.nextInt(4)}")
+                    3 -> fleet.publish(host, stale = random.nextInt(4) == 0)
+                    4 -> fleet.restart(host, fromSnapshot = random.nextBoolean())
+                    5 -> if (random.nextInt(8) == 0) fleet.kill(host)
+                    in 6..10 -> fleet.poll(host, limit = 1 + random.nextInt(5))
+                    else -> fleet.advance((1 + random.nextInt(300)).milliseconds)
+                }
+            }
+            fleet.settle()
+            return fleet
+        }
+
+        test("no order of events breaks an invariant") {
+            var runs = 0
+            repeat(400) { seed ->
+                val fleet = play(seed)
+                runs += fleet.checker.runs.size
+                withClue("seed $seed") {
+                    fleet.checker.violations.shouldBeEmpty()
+                    fleet.unanswered().shouldBeEmpty()
+                    fleet.states().map { it.release }.toSet().size shouldBe 1
+                }
+            }
+            runs shouldBeGreaterThan 400
+        }
+
+        Plant.entries.forEach { plant ->
+            test("the checkers catch $plant") {
+                (0 until 20).flatMap { play(it, plant).checker.violations }.shouldNotBeEmpty()
+            }
+        }
+
+        test("a withdrawal that one host heard of reaches all hosts and the log, also after an outage") {
+            val hash = KeyHash.of("leaked")
+            listOf(
+                null,
+                Fault.OUTAGE,
+                Fault.LOST_ANSWER,
+                Fault.LOST_REQUEST,
+                Fault.REFUSED,
+                Fault.DEATH,
+            ).forEach { fault ->
+                val plan = FaultPlan.of(listOfNotNull(fault?.let { Triple(Step.WITHDRAWAL, 0, it) }))
+                val fleet = VirtualFleet(size = 3, plan)
+                fleet.withdraw(0, hash)
+                fleet.advance(100.milliseconds)
+                withClue("$fault") {
+                    (0..2).forEach { fleet.isRevoked(it, hash) shouldBe true }
+                    repeat(200) { fleet.advance(100.milliseconds) }
+                    fleet.settle()
+                    fleet.states().forEach { it.withdrawnKeys shouldBe setOf(hash) }
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/OrderIssuerSpec.kt
@@ -0,0 +1,98 @@
+package io.anvilvalve.rules.release
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.port.EngineTarget
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Model
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.release.Role
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.minutes
+
+/** Guards against two issuers of orders, a pool below its capacity, crowded loads and moves that nobody finishes. */
+class OrderIssuerSpec :
+    FunSpec({
+        val model = ModelId("m")
+
+        /**
+         * Two engines move from prefill to decode, one gets a new version; the others stay.
+         *
+         * Decode starts below what the release names, so the cases look at the capacity of prefill.
+         */
+        fun fleet(
+            vararg faults: Pair<Int, OrderFault>,
+            plant: OrderPlant? = null,
+            start: (Int) -> EngineTarget = {
+                EngineTarget(if (it < 4) Role.PREFILL else Role.DECODE, mapOf(model to if (it == 5) "0" else "1"))
+            },
+        ): EngineFleet {
+            val servers = (0..5).map {
+                BackendServer(
+                    BackendServerId("e$it"),
+                    "127.0.0.1:${9_000 + it}",
+                    DataCentreId("d"),
+                    if (it < 2) Role.PREFILL else Role.DECODE,
+                    listOf(model),
+                    checksFencing = it % 2 == 0,
+                )
+            }
+            val release = Release(ReleaseNumber(1), servers.associateBy { it.id }, mapOf(model to Model(model)))
+            val engines = servers.withIndex().associate { (i, it) ->
+                it.id to VirtualEngine(it.checksFencing, start(i))
+            }
+            return EngineFleet(release, engines, faults.toMutableList(), plant)
+        }
+
+        test("without faults each engine gets one order") {
+            val fleet = fleet()
+            fleet.run(1.minutes)
+            fleet.isDone shouldBe true
+            fleet.orders shouldBe 3
+            fleet.violations.filterNot { it.startsWith("DECODE") }.shouldBeEmpty()
+        }
+
+        val cases = OrderFault.entries.flatMap { fault -> (1..3).map { listOf(it to fault) } }
+        val pairs = cases.flatMapIndexed { i, first -> cases.drop(i).map { first + it } }
+        listOf("single" to cases, "paired" to pairs).forEach { (name, table) ->
+            test("$name faults leave one issuer and finished moves") {
+                table.forEach { planned ->
+                    val fleet = fleet(*planned.toTypedArray())
+                    fleet.run(1.minutes)
+                    fleet.runUntilDone(20.minutes)
+                    withClue("$planned") {
+                        fleet.violations.filterNot { it.startsWith("DECODE") }.shouldBeEmpty()
+                        fleet.isDone shouldBe true
+                    }
+                }
+            }
+        }
+
+        test("a swap without spare capacity waits, and the engines that wait are known") {
+            val fleet = fleet(start = {
+                EngineTarget(if (it in listOf(0, 2)) Role.PREFILL else Role.DECODE, mapOf(model to "1"))
+            })
+            fleet.run(5.minutes)
+            fleet.violations.shouldBeEmpty()
+            fleet.orders shouldBe 0
+            fleet.held shouldBe setOf(BackendServerId("e1"), BackendServerId("e2"))
+        }
+
+        listOf(
+            OrderPlant.OLD_ORDER to "an old order",
+            OrderPlant.DOUBLED_ORDER to "two loads",
+            OrderPlant.EARLY_MOVE to "PREFILL",
+        ).forEach { (plant, violation) ->
+            test("the checkers catch $plant") {
+                val fleet = fleet(1 to OrderFault.DEATH, plant = plant)
+                fleet.run(5.minutes)
+                fleet.violations.filter { it.startsWith(violation) }.shouldNotBeEmpty()
+            }
+        }
+    })
