--- a/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/EngineFleet.kt
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/EngineFleet.kt
@@ -135,12 +135,15 @@
     private fun perform(host: Host, effect: ReleaseEffect) {
         when (effect) {
             is ReleaseEffect.Append -> append(host, effect.records)
+
             is ReleaseEffect.ReadState -> {
                 val lost = takeFault(OrderFault.STATE_UNREADABLE)
                 val state = engines.getValue(effect.server).state.takeUnless { lost }
                 after(50.milliseconds) { reduce(host, ReleaseEvent.StateRead(effect.server, state)) }
             }
+
             is ReleaseEffect.SendOrder -> send(host, effect.server, effect.order)
+
             else -> Unit
         }
     }
