Charge placed work only and overbook decode slots

At 1.5x the queue charged organisations for work that it then refused: one of two equal organisations got 7% of its lookups and the other 86%. Work is now charged when it is placed and settled when it ends, prompt tokens weigh 1/16, and batch work yields to interactive work for 30 s at most.

Slots held through the whole prefill left about 10% of a decode server idle. A prefill may now start when enough running answers end, with 99% probability, before its result expires. Waiting work keeps a quarter of its budget, because a queue that serves only the oldest leaves no such window.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Capacity.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Capacity.kt
@@ -57,7 +57,7 @@
         return Mean(
             samples.map { (prompt, _) -> (prompt - cached).coerceAtLeast(1) }.average(),
             samples.map { (_, output) -> output }.average(),
-            samples.map { (prompt, output) -> prompt + output }.average(),
+            samples.map { (prompt, output) -> tokenCost(prompt, output) }.average(),
         )
     }
 
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/CentralCountsPolicy.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/CentralCountsPolicy.kt
@@ -38,7 +38,8 @@
             val request = iterator.next()
             val late = request.firstTokenAt == 0L && request.deadline < simulation.now
             val place = if (late) null else place(request)
-            if (late || place != null) iterator.remove()
+            if (!late && place == null) continue
+            iterator.remove()
             val attempt = request.attempt
             simulation.after(workload.crossCentreMicros) {
                 if (late) origin.refuse(request, attempt) else place?.let { origin.place(request, attempt, it) }
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Measures.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Measures.kt
@@ -1,23 +1,24 @@
 package io.anvilvalve.bench.policy
 
-/** Derives the metrics from the requests that arrived after the warm-up. */
+/** Derives the metrics from the requests that arrived between the warm-up and the cool-down. */
 internal class Measures(
     private val workload: Workload,
     private val capacity: Capacity,
     private val load: Double,
     arrivals: List<Request>,
 ) {
-    private val counted = arrivals.filter { it.arrivedAt >= workload.warmupMicros }
-    private val seconds = (workload.durationMicros - workload.warmupMicros) / MICROS_PER_SECOND
+    private val window = workload.warmupMicros..<workload.durationMicros - workload.cooldownMicros
+    private val counted = arrivals.filter { it.arrivedAt in window }
+    private val seconds = (window.last - window.first) / MICROS_PER_SECOND
 
-    fun goodput(): Double = counted.filter { it.good }.sumOf { it.cost }.toDouble()
+    fun goodput(): Double = counted.filter { it.good }.sumOf { it.cost }
 
-    fun goodputRatio(): Double = ratio(goodput(), counted.sumOf { it.cost }.toDouble())
+    fun goodputRatio(): Double = ratio(goodput(), counted.sumOf { it.cost })
 
     fun worstOrganisationRatio(): Double {
         val fair = workload.models.map { fairShares(it) }
         return workload.organisations.minOf { organisation ->
-            val good = counted.filter { it.good && it.organisation === organisation }.sumOf { it.cost }.toDouble()
+            val good = counted.filter { it.good && it.organisation === organisation }.sumOf { it.cost }
             ratio(good, fair.sumOf { it.getValue(organisation.name) })
         }
     }
@@ -27,13 +28,18 @@
         return ratio(within.count { it.refused }.toDouble(), within.size.toDouble())
     }
 
-    /** Max-min fair division of the capacity of the pool of [model] by what organisations asked of it. */
+    /**
+     * Max-min fair division of the pool of [model] by what organisations asked of it: of its capacity, or in overload of
+     * what it delivered in time, so that the division is judged apart from the amount.
+     */
     private fun fairShares(model: String): Map<String, Double> {
         val demands = workload.organisations.associate { organisation ->
             val own = counted.filter { it.spec.model == model && it.organisation === organisation }
-            organisation.name to own.sumOf { it.cost }.toDouble()
+            organisation.name to own.sumOf { it.cost }
         }
-        var left = capacity.tokens(model) * seconds
+        val most = capacity.tokens(model) * seconds
+        val delivered = counted.filter { it.good && it.spec.model == model }.sumOf { it.cost }
+        var left = if (demands.values.sum() <= most) most else minOf(most, delivered)
         val shares = HashMap<String, Double>()
         demands.entries.sortedBy { it.value }.forEachIndexed { index, (name, demand) ->
             val share = minOf(demand, left / (demands.size - index))
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PolicyCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PolicyCommand.kt
@@ -33,7 +33,8 @@
         for (file in workloads.ifEmpty { defaults() }) {
             for (workload in WorkloadFile(file).variants()) {
                 val run = PolicyRun(workload, seed)
-                workload.loads.forEach { load -> policies.forEach { write(run.measure(it, load)) } }
+                val cases = workload.loads.flatMap { load -> policies.map { it to load } }
+                cases.parallelStream().map { (policy, load) -> run.measure(policy, load) }.toList().forEach(::write)
             }
         }
     }
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Request.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Request.kt
@@ -3,7 +3,7 @@
 /**
  * One request of a run and what became of it. Times are in microseconds.
  *
- * @property cost tokens of prompt and answer, the unit of goodput and of fair shares.
+ * @property cost token cost, the unit of goodput and of fair shares.
  */
 internal class Request(
     val number: Int,
@@ -15,7 +15,7 @@
     val outputTokens: Int,
     val prefixHashes: List<Long>,
 ) {
-    val cost: Int = promptTokens + outputTokens
+    val cost: Double = tokenCost(promptTokens, outputTokens)
     val deadline: Long = arrivedAt + spec.deadlineMicros
 
     /** Shared tokens that a warm prefix cache saves. */
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Workload.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Workload.kt
@@ -8,6 +8,8 @@
  *
  * @property loads offered loads as multiples of the capacity of each pool.
  * @property warmupMicros time at the start for which requests are not counted.
+ * @property cooldownMicros time at the end for which requests are not counted, so that a backlog served after the last
+ *   arrival adds nothing.
  * @property kvLifetimeMicros time for which an engine keeps a prefill result for its transfer.
  * @property speedSpread when over 1, every other worker is that much slower.
  * @property cacheGapRatio share of the cache events that are lost.
@@ -17,6 +19,7 @@
     val loads: List<Double>,
     val durationMicros: Long,
     val warmupMicros: Long,
+    val cooldownMicros: Long,
     val kvBytesPerToken: Long,
     val kvLifetimeMicros: Long,
     val localMicros: Long,
@@ -101,6 +104,12 @@
 internal const val MICROS_PER_SECOND = 1_000_000.0
 internal const val MICROS_PER_MILLI = 1_000.0
 internal const val TOKEN_GAP_MICROS = 28_000.0
+
+/** A prefill of 1,000 tokens takes an engine about as long as 60 output tokens. */
+internal const val PROMPT_WEIGHT = 1.0 / 16
 internal const val PIECE_TOKENS = 1_000
 
+/** Tokens of a prompt and its answer, weighted by what they cost engines. */
+internal fun tokenCost(promptTokens: Int, outputTokens: Int): Double = promptTokens * PROMPT_WEIGHT + outputTokens
+
 internal fun pieces(tokens: Int): Int = (tokens + PIECE_TOKENS - 1) / PIECE_TOKENS
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/WorkloadFile.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/WorkloadFile.kt
@@ -8,7 +8,7 @@
 import java.nio.file.Path
 import kotlin.io.path.inputStream
 
-/** Reads workload files; sections are named `kind:name`, and each `variant` section overrides keys of `workload`. */
+/** Reads workload files; sections are named `kind:name` and taken in the order of their names, and each `variant` section overrides keys of `workload`. */
 internal class WorkloadFile(path: Path) {
     private val ini = Ini().apply {
         config = Config().apply {
@@ -36,6 +36,7 @@
             loads = text("loads").split(',').map { it.trim().toDouble() },
             durationMicros = (text("duration_s").toDouble() * MICROS_PER_SECOND).toLong(),
             warmupMicros = (text("warmup_s").toDouble() * MICROS_PER_SECOND).toLong(),
+            cooldownMicros = (text("cooldown_s").toDouble() * MICROS_PER_SECOND).toLong(),
             kvBytesPerToken = text("kv_bytes_per_token").toLong(),
             kvLifetimeMicros = micros("kv_lifetime_ms"),
             localMicros = micros("local_ms"),
@@ -56,8 +57,9 @@
         )
     }
 
-    private fun sections(kind: String): List<Pair<String, Profile.Section>> =
-        ini.filterKeys { it.startsWith("$kind:") }.map { (name, section) -> name.substringAfter(':') to section }
+    private fun sections(kind: String): List<Pair<String, Profile.Section>> = ini.filterKeys { it.startsWith("$kind:") }
+        .map { (name, section) -> name.substringAfter(':') to section }
+        .sortedBy { (name, _) -> name }
 
     private fun mix(text: String): Map<String, Double> =
         text.split(',').associate { part -> part.substringBefore(':').trim() to part.substringAfter(':').toDouble() }
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/AnswerLengths.kt
@@ -0,0 +1,49 @@
+package io.anvilvalve.rules.scheduling
+
+import kotlin.math.ln
+
+/**
+ * Learned distribution of answer lengths of one model and class, as the chance per token that a running answer ends.
+ *
+ * Bins are geometric; each finished answer counts in the bins that it passed through, and older answers weigh less.
+ */
+internal class AnswerLengths {
+    private val ended = DoubleArray(BINS)
+    private val passedTokens = DoubleArray(BINS)
+    private var seen = 0
+
+    /** Takes in that an answer ended after [tokens] tokens. */
+    fun observe(tokens: Int) {
+        seen++
+        val last = bin(tokens)
+        for (bin in 0..last) {
+            passedTokens[bin] *= DECAY
+            ended[bin] *= DECAY
+            passedTokens[bin] += if (bin < last) width(bin) else (tokens - start(bin)).coerceAtLeast(1.0)
+        }
+        ended[last] += 1.0
+    }
+
+    /** Chance that an answer that has [tokens] tokens ends with its next one; 0 until enough was seen. */
+    fun endChance(tokens: Int): Double {
+        if (seen < MIN_SEEN) return 0.0
+        val bin = bin(tokens)
+        return if (passedTokens[bin] > 0.0) ended[bin] / passedTokens[bin] else 0.0
+    }
+
+    private fun bin(tokens: Int): Int =
+        (ln(tokens.coerceAtLeast(1) / FIRST_WIDTH + 1.0) / LN_FACTOR).toInt().coerceAtMost(BINS - 1)
+
+    private fun start(bin: Int): Double = FIRST_WIDTH * (Math.pow(FACTOR, bin.toDouble()) - 1.0)
+
+    private fun width(bin: Int): Double = start(bin + 1) - start(bin)
+
+    private companion object {
+        const val BINS = 32
+        const val FIRST_WIDTH = 16.0
+        const val FACTOR = 1.25
+        const val DECAY = 0.995
+        const val MIN_SEEN = 50
+        val LN_FACTOR = ln(FACTOR)
+    }
+}
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/FairLane.kt
@@ -0,0 +1,63 @@
+package io.anvilvalve.rules.scheduling
+
+import io.anvilvalve.api.peer.WorkClass
+
+/** Waiting work of one organisation; interactive first, with [batchShare] of the cost for batch while both wait. */
+internal class FairLane(val number: Long, private val batchShare: Double, private val promptWeight: Double) {
+    private val interactive = ArrayDeque<Work>()
+    private val batch = ArrayDeque<Work>()
+    private var batchCredit = 0.0
+
+    /** Learned ratio of generated tokens to the most that was asked for. */
+    private var outputRatio = INITIAL_OUTPUT_RATIO
+
+    /** Token cost that the organisation was charged for, on the scale of the queue's virtual time. */
+    var tag = 0.0
+
+    /** Position among the lanes; only changed while the lane is out of the queue's order. */
+    var rank = 0.0
+
+    val isEmpty: Boolean get() = interactive.isEmpty() && batch.isEmpty()
+
+    val isBatchNext: Boolean
+        get() = batch.isNotEmpty() && (interactive.isEmpty() || batchCredit >= expectedCost(batch.first()))
+
+    fun waiting(workClass: WorkClass): Int = works(workClass).size
+
+    fun next(): Work? = if (isBatchNext) batch.first() else interactive.firstOrNull()
+
+    fun add(work: Work) = works(work.item.workClass).addLast(work)
+
+    fun remove(work: Work): Boolean {
+        val works = works(work.item.workClass)
+        if (works.firstOrNull() !== work) return works.remove(work)
+        works.removeFirst()
+        return true
+    }
+
+    fun charge(work: Work) {
+        work.charged = expectedCost(work)
+        tag += work.charged
+        if (work.item.workClass == WorkClass.BATCH) {
+            batchCredit = (batchCredit - work.charged).coerceAtLeast(0.0)
+        } else if (batch.isNotEmpty()) {
+            batchCredit += work.charged * batchShare / (1 - batchShare)
+        }
+    }
+
+    fun settle(work: Work, outputTokens: Int) {
+        tag += work.item.promptTokens * promptWeight + outputTokens - work.charged
+        val ratio = outputTokens.toDouble() / work.item.maxTokens.coerceAtLeast(1)
+        outputRatio += OUTPUT_RATIO_GAIN * (ratio.coerceAtMost(1.0) - outputRatio)
+    }
+
+    private fun expectedCost(work: Work): Double =
+        work.item.promptTokens * promptWeight + work.item.maxTokens * outputRatio
+
+    private fun works(workClass: WorkClass) = if (workClass == WorkClass.BATCH) batch else interactive
+
+    private companion object {
+        const val INITIAL_OUTPUT_RATIO = 0.5
+        const val OUTPUT_RATIO_GAIN = 0.05
+    }
+}
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/FairQueue.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/FairQueue.kt
@@ -1,67 +1,95 @@
 package io.anvilvalve.rules.scheduling
 
 import io.anvilvalve.api.id.OrganisationId
-import io.anvilvalve.api.peer.WorkClass
 import java.util.PriorityQueue
+import java.util.TreeSet
+import kotlin.math.exp
 
 /**
- * Waiting work of one model: start-time fair queueing over organisations within each class.
+ * Waiting work of one model: start-time fair queueing over organisations on token cost.
  *
- * Interactive work goes first. While it waits, batch work earns [batchShare] of the dispatched cost.
+ * An organisation is charged for what is placed, never for what is refused. Batch work of an organisation yields to
+ * interactive work of others until it is [SchedulingSettings.batchLag] behind at the pool's recent rate, so that over
+ * time every organisation gets its share whatever the classes of its work.
  */
-internal class FairQueue(private val bound: Int, private val batchShare: Double) {
-    private val interactive = FairLanes()
-    private val batch = FairLanes()
+internal class FairQueue(private val settings: SchedulingSettings) {
+    private val lanes = HashMap<OrganisationId, FairLane>()
+    private val backlogged = TreeSet<FairLane>(compareBy({ it.rank }, { it.number }))
     private val byLatestStart = PriorityQueue<Work>(compareBy { it.latestStart })
-    private var batchCredit = 0.0
+    private var virtualTime = 0.0
+    private var laneCount = 0L
+    private var recentCost = 0.0
+    private var recentAt = 0L
 
-    val size: Int get() = interactive.size + batch.size
+    var size = 0
+        private set
 
     /** Adds [work] unless its organisation has too much waiting. */
     fun offer(work: Work): Boolean {
-        val lanes = lanes(work)
-        if (lanes.waiting(work.item.organisation) >= bound) return false
-        lanes.add(work)
+        if (lanes.size > MAX_LANES) lanes.values.removeIf { it.isEmpty && it.tag <= virtualTime }
+        val lane = lanes.getOrPut(work.item.organisation) { newLane() }
+        if (lane.waiting(work.item.workClass) >= settings.queueBound) return false
+        change(lane) {
+            if (it.isEmpty) it.tag = maxOf(it.tag, virtualTime)
+            it.add(work)
+        }
         byLatestStart.add(work)
+        size++
         return true
     }
 
     fun remove(work: Work) {
-        lanes(work).remove(work)
-        byLatestStart.remove(work)
+        val lane = lanes[work.item.organisation] ?: return
+        change(lane) { if (it.remove(work)) size-- }
     }
 
     /** Removes and charges [work], which was placed. */
-    fun dispatch(work: Work) {
-        lanes(work).advance(work.startTag)
-        remove(work)
-        if (work.item.workClass == WorkClass.BATCH) {
-            batchCredit = (batchCredit - work.cost).coerceAtLeast(0.0)
-        } else if (batch.size > 0) {
-            batchCredit += work.cost * batchShare / (1 - batchShare)
+    fun dispatch(work: Work, now: Long) {
+        val lane = lanes.getValue(work.item.organisation)
+        virtualTime = maxOf(virtualTime, lane.tag)
+        change(lane) {
+            if (it.remove(work)) size--
+            it.charge(work)
         }
+        recentCost = recentCost * exp((recentAt - now) / RATE_MICROS) + work.charged
+        recentAt = now
     }
 
-    /** The first work of each organisation, in the order in which it should be placed. */
-    fun candidates(): Sequence<Work> {
-        val first = batch.heads().firstOrNull()
-        val batchIsDue = first != null && batchCredit >= first.cost
-        return if (batchIsDue) batch.heads() + interactive.heads() else interactive.heads() + batch.heads()
+    /** Replaces the charge of [work], which generated [outputTokens], by what it used. */
+    fun settle(work: Work, outputTokens: Int) {
+        val lane = lanes[work.item.organisation] ?: return
+        change(lane) { it.settle(work, outputTokens) }
     }
 
+    /** The next work of each organisation, in the order in which it should be placed; stale after any change. */
+    fun candidates(): Sequence<Work> = backlogged.asSequence().mapNotNull { it.next() }
+
     /** Removes work that can no longer meet its deadline. */
     fun takeLate(now: Long): List<Work> {
         if (byLatestStart.isEmpty() || byLatestStart.peek().latestStart >= now) return emptyList()
         val late = ArrayList<Work>()
         while (byLatestStart.isNotEmpty() && byLatestStart.peek().latestStart < now) {
             val work = byLatestStart.poll()
-            lanes(work).remove(work)
+            if (work.state != Work.State.QUEUED) continue
+            remove(work)
             late.add(work)
         }
         return late
     }
 
-    fun waiting(organisation: OrganisationId): Int = interactive.waiting(organisation) + batch.waiting(organisation)
+    private fun newLane() = FairLane(laneCount++, settings.batchShare, settings.promptWeight)
 
-    private fun lanes(work: Work): FairLanes = if (work.item.workClass == WorkClass.BATCH) batch else interactive
+    private inline fun change(lane: FairLane, action: (FairLane) -> Unit) {
+        backlogged.remove(lane)
+        action(lane)
+        if (lane.isEmpty) return
+        val lag = recentCost / RATE_MICROS * settings.batchLag.inWholeMicroseconds
+        lane.rank = if (lane.isBatchNext) lane.tag + lag else lane.tag
+        backlogged.add(lane)
+    }
+
+    private companion object {
+        const val RATE_MICROS = 10_000_000.0
+        const val MAX_LANES = 4_096
+    }
 }
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Occupancy.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Occupancy.kt
@@ -55,6 +55,7 @@
         releasePrefill(work, now)
         releaseResult(work)
         work.decode?.let {
+            it.decodeEnded(work)
             it.changeHeld(now, -1)
             it.holdKv(-work.kvPieces)
         }
@@ -83,6 +84,7 @@
         work.resultUntil = 0
         work.firstTokenAt = now
         val decode = work.decode ?: return Outcome()
+        decode.decodeStarted(work)
         work.occupancyAtFirstToken = decode.occupancyIntegral(now)
         val transfer = event.spent.inWholeMicroseconds - decode.speed.predict(decode.held.toDouble()).toLong()
         if (planned > 0 && transfer > 0) decode.transferred(planned, transfer)
@@ -92,6 +94,7 @@
     private fun decodeFinished(work: Work, event: SchedulingEvent.Progressed, now: Long): Outcome {
         val decode = work.decode
         if (decode != null && work.state == Work.State.DECODING) learnPace(work, decode, event, now)
+        if (event.tokens > 0) work.lengths?.observe(event.tokens)
         release(work, now)
         return Outcome(succeeded = decode)
     }
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Placer.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Placer.kt
@@ -1,7 +1,7 @@
 package io.anvilvalve.rules.scheduling
 
+import io.anvilvalve.api.peer.WorkClass
 import io.anvilvalve.api.release.Model
-import io.anvilvalve.api.release.Role
 
 /**
  * Chooses servers for an attempt, decode first: a prefill is only started when a decode slot, KV pieces and link time
@@ -14,6 +14,7 @@
         val tokens = uncachedTokens(work, prefill)
         val micros = prefill.speed.predict(tokens).toLong()
         val readyAt = prefill.prefillFreeAt(now) + micros
+        if (work.item.workClass == WorkClass.BATCH && blocksInteractive(pool, prefill, readyAt, now)) return null
         return withDecode(work, pool, Source(prefill, readyAt, micros, tokens), now)
     }
 
@@ -29,19 +30,35 @@
         return if (prefill == null || decode == null) null else prefill.toLong() + decode
     }
 
-    /** Whether a prefill server can get another prefill at [now]. */
-    fun isOpen(server: ServerState, now: Long): Boolean = if (server.server.role == Role.PREFILL) {
+    private fun canPrefill(server: ServerState, now: Long): Boolean {
         val depth = minOf(settings.prefillDepth, server.server.slots, server.breaker.allowance(now))
-        server.held < depth && server.prefillFreeAt(now) - now <= settings.prefillLead.inWholeMicroseconds
-    } else {
-        server.held < server.decodeLimit(now)
+        return server.held < depth && server.prefillFreeAt(now) - now <= settings.prefillLead.inWholeMicroseconds
+    }
+
+    /** Whether a slot is free, or will be in time for the result of [source]. */
+    private fun canDecode(server: ServerState, source: Source, work: Work, now: Long): Boolean {
+        val limit = server.decodeLimit(now)
+        if (server.held < limit) return true
+        val beyond = server.held + 1 - limit
+        if (!settings.overbooking || limit <= 0 || beyond > Overbooking.LIMIT || source.micros == 0L) return false
+        val lifetime = (settings.resultLifetime.inWholeMicroseconds * USABLE_LIFETIME).toLong()
+        val latest = minOf(source.readyAt + lifetime, work.deadline - DEADLINE_MARGIN)
+        return latest > now && beyond <= Overbooking.allowed(server.expectedEnds(latest - now, now))
+    }
+
+    /** Whether all prefill servers would be busy for long with [chosen] busy until [until]. */
+    private fun blocksInteractive(pool: Pool, chosen: ServerState, until: Long, now: Long): Boolean {
+        val latest = now + settings.batchPrefillWait.inWholeMicroseconds
+        if (until <= latest) return false
+        val others = pool.prefills.filter { it !== chosen && it.takesNewWork(pool.model.id) }
+        return others.isNotEmpty() && others.none { it.prefillFreeAt(now) <= latest }
     }
 
     private fun bestPrefill(work: Work, pool: Pool, now: Long): ServerState? {
         var best: ServerState? = null
         var bestScore = Double.MAX_VALUE
         for (server in pool.prefills) {
-            if (!isOpen(server, now) || !admits(server, work)) continue
+            if (!canPrefill(server, now) || !admits(server, work)) continue
             if (server.freeKv(now) < work.promptPieces) continue
             val finish = server.prefillFreeAt(now) - now + server.speed.predict(uncachedTokens(work, server))
             if (now + finish > work.deadline) continue
@@ -58,7 +75,7 @@
         var best: ServerState? = null
         var bestScore = Double.MAX_VALUE
         for (server in pool.decodes) {
-            if (!isOpen(server, now) || !admits(server, work)) continue
+            if (!admits(server, work) || !canDecode(server, source, work, now)) continue
             if (server.freeKv(now) < work.kvPieces) continue
             val score = decodeScore(server, source, work, now)
             if (score < bestScore && transfer(work, pool.model, source, server) != null) {
@@ -118,6 +135,8 @@
     private class Source(val server: ServerState, val readyAt: Long, val micros: Long, val tokens: Double)
 
     private companion object {
+        const val USABLE_LIFETIME = 0.85
+        const val DEADLINE_MARGIN = 100_000L
         const val MICROS_PER_SECOND = 1_000_000.0
         const val CROSS_CENTRE_LOAD = 0.1
         const val AVOIDED_LOAD = 10.0
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Pool.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Pool.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.rules.scheduling
 
+import io.anvilvalve.api.peer.WorkClass
 import io.anvilvalve.api.release.Model
 
 /** The servers and the waiting work of one model. */
@@ -7,5 +8,9 @@
     var prefills: List<ServerState> = emptyList()
     var decodes: List<ServerState> = emptyList()
 
+    private val lengths = WorkClass.entries.associateWith { AnswerLengths() }
+
+    fun lengths(workClass: WorkClass): AnswerLengths = lengths.getValue(workClass)
+
     val hasServers: Boolean get() = prefills.isNotEmpty() && decodes.isNotEmpty()
 }
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.id.HostId
 import io.anvilvalve.api.id.ModelId
 import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.peer.Phase
 import io.anvilvalve.api.peer.PlacementOutcome.Placed
 import io.anvilvalve.api.peer.PlacementOutcome.Refused
 import io.anvilvalve.api.peer.WorkClass
@@ -58,6 +59,7 @@
             pool == null -> return refuse(work, ResultCode.UNKNOWN_MODEL, now)
             !pool.hasServers -> return refuse(work, ResultCode.NO_BACKEND_SERVER, now)
         }
+        work.lengths = pool.lengths(work.item.workClass)
         if (earlier != null) replace(earlier, work, now)
         if (earlier?.placed == null) {
             retries.firstAttempt()
@@ -70,6 +72,10 @@
     private fun enqueue(work: Work, pool: Pool, now: Long) {
         val bestCase = if (work.resultUntil > now) 0 else placer.bestCase(work, pool) ?: 0
         work.latestStart = work.deadline - bestCase
+        // With slack left the prefill can start before a decode slot is free, and estimates may be wrong by that much.
+        val slack = work.item.firstTokenBudgetMicros * settings.deadlineSlack
+        val latest = work.latestStart - minOf(slack.toLong(), settings.resultLifetime.inWholeMicroseconds)
+        if (latest > now) work.latestStart = latest
         when {
             work.latestStart < now -> refuse(work, ResultCode.DEADLINE_UNREACHABLE, now)
 
@@ -108,6 +114,7 @@
             failed(it, now)
         }
         if (work.ended) works.ended(work, now)
+        if (event.phase == Phase.DECODE_FINISHED) pools[work.item.model]?.queue?.settle(work, event.tokens)
         pumpAll(now)
     }
 
@@ -146,7 +153,7 @@
         val models = event.models.associateBy { it.id }
         (pools.keys - models.keys).forEach { dropPool(it, now) }
         models.values.forEach { model ->
-            val pool = pools.getOrPut(model.id) { Pool(model, FairQueue(settings.queueBound, settings.batchShare)) }
+            val pool = pools.getOrPut(model.id) { Pool(model, FairQueue(settings)) }
             pool.model = model
             val members = servers.values.filter { !it.released && model.id in it.server.models }
             pool.prefills = members.filter { it.server.role == Role.PREFILL }
@@ -187,7 +194,7 @@
         val placement =
             if (holder != null) placer.placeDecode(work, pool, holder, now) else placer.place(work, pool, now)
         if (placement == null) return false
-        pool.queue.dispatch(work)
+        pool.queue.dispatch(work, now)
         val priority = if (work.item.workClass == WorkClass.BATCH) BATCH_PRIORITY else INTERACTIVE_PRIORITY
         work.placed = Placed(placement.prefill.server.id, placement.decode.server.id, priority)
         occupancy.hold(work, placement, now)
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/ServerState.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/ServerState.kt
@@ -22,6 +22,10 @@
     var kvHeld = 0
         private set
 
+    private val decoding = ArrayList<Work>()
+    private var endRate = 0.0
+    private var endRateAt = Long.MIN_VALUE / 2
+
     private var pendingPrefill = 0L
     private var prefillBusySince = 0L
     private var occupancy = 0.0
@@ -56,6 +60,24 @@
         return minOf(paced, breaker.allowance(now)) - load.foreignRunning(now)
     }
 
+    fun decodeStarted(work: Work) {
+        decoding.add(work)
+    }
+
+    fun decodeEnded(work: Work) {
+        if (decoding.remove(work)) endRateAt = Long.MIN_VALUE / 2
+    }
+
+    /** Expected number of running answers that end within [window] microseconds. */
+    fun expectedEnds(window: Long, now: Long): Double {
+        if (now - endRateAt > END_RATE_AGE) {
+            val step = speed.predict(held.toDouble()).coerceAtLeast(1.0)
+            endRate = decoding.sumOf { it.endChance((it.decodingMicros(now) / step).toInt()) } / step
+            endRateAt = now
+        }
+        return endRate * window
+    }
+
     fun holdPrefill(now: Long, micros: Long) {
         if (held == 0) prefillBusySince = now
         pendingPrefill += micros
@@ -95,6 +117,7 @@
         const val PREFILL_PER_TOKEN = 50.0
         const val STEP_BASE = 12_000.0
         const val STEP_PER_REQUEST = 600.0
+        const val END_RATE_AGE = 100_000L
         const val PACE_MARGIN = 0.97
         const val LINK_GAIN = 0.1
         const val MAX_LINK_FACTOR = 20.0
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Work.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Work.kt
@@ -6,7 +6,6 @@
 /** One attempt of a request, from its submission until it is forgotten. Times are in microseconds. */
 internal class Work(val item: WorkItem, val attempt: Int, val arrivedAt: Long) {
     val deadline: Long = arrivedAt + item.firstTokenBudgetMicros
-    val cost: Double = (item.promptTokens + item.maxTokens).toDouble()
     val kvPieces: Int = pieces(item.promptTokens + item.maxTokens)
     val promptPieces: Int = pieces(item.promptTokens)
 
@@ -16,8 +15,8 @@
     var decode: ServerState? = null
     var transfer: LinkSchedule.Transfer? = null
 
-    /** Start tag in the fair queue. */
-    var startTag = 0.0
+    /** Token cost that the organisation was charged when the work was placed. */
+    var charged = 0.0
 
     /** Latest time at which the work can start and still meet its deadline. */
     var latestStart = Long.MAX_VALUE
@@ -45,6 +44,13 @@
     var occupancyAtFirstToken = 0.0
     var firstTokenAt = 0L
 
+    /** Distribution of the answer lengths of this kind of work. */
+    var lengths: AnswerLengths? = null
+
+    fun endChance(tokens: Int): Double = lengths?.endChance(tokens) ?: 0.0
+
+    fun decodingMicros(now: Long): Long = now - firstTokenAt
+
     val ended: Boolean get() = state == State.ENDED
 
     /** Steps of an attempt in their order. */
