--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.subcommands
 import io.anvilvalve.bench.policy.PolicyCommand
+import io.anvilvalve.bench.slopes.SlopesCommand
 
 /** Root of `anvilvalve-bench`. */
 internal class BenchCommand : CliktCommand(name = "anvilvalve-bench") {
@@ -15,6 +16,7 @@
         /** One line per subcommand; each lives in a package of its own. */
         fun withSubcommands(): CliktCommand = BenchCommand().subcommands(
             PolicyCommand(),
+            SlopesCommand(),
         )
     }
 }
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/FleetSize.kt
@@ -0,0 +1,9 @@
+package io.anvilvalve.bench.slopes
+
+/** Size of the fleet that a host is measured in. */
+internal data class FleetSize(
+    val hosts: Int = 7,
+    val organisations: Int = 10,
+    val servers: Int = 14,
+    val models: Int = 1,
+)
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/ReducerRig.kt
@@ -0,0 +1,175 @@
+package io.anvilvalve.bench.slopes
+
+import arrow.core.right
+import io.anvilvalve.api.BinaryCodec
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.NoteId
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.log.LogCodec
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerFrame
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.port.LogPage
+import io.anvilvalve.api.port.StoredRecord
+import io.anvilvalve.api.release.BackendServer
+import io.anvilvalve.api.release.Change
+import io.anvilvalve.api.release.Key
+import io.anvilvalve.api.release.Model
+import io.anvilvalve.api.release.Organisation
+import io.anvilvalve.api.release.ReleaseNote
+import io.anvilvalve.api.release.Role
+import io.anvilvalve.core.HostConfig
+import io.anvilvalve.core.HostEffect
+import io.anvilvalve.core.HostEvent
+import io.anvilvalve.core.HostReducer
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One host's rules in a fleet of a given size; the log and the other hosts answer from memory. */
+internal class ReducerRig(private val size: FleetSize) {
+    private val members = List(size.hosts, ::member)
+    private val reducer = HostReducer(HostConfig(self = members.first(), seed = 1, limitSlots = slots()))
+    private val log = ArrayList<ByteArray>()
+    private var notes = 0L
+    private var pendingRead: LogOffset? = null
+
+    var now: Duration = Duration.ZERO
+        private set
+
+    /** Encoded bytes of all frames to peers so far. */
+    var peerBytes = 0L
+        private set
+
+    /** Records appended by the host so far. */
+    var appends = 0
+        private set
+
+    /** Encoded bytes of all records in the log. */
+    val logBytes: Long get() = log.sumOf { it.size.toLong() }
+
+    /** Joins all hosts, publishes the release and runs until the host is current. */
+    fun start(): ReducerRig = apply {
+        members.forEach { add(LogRecord.HostJoined(it)) }
+        assignSlots()
+        firstRelease().chunked(CHANGES_PER_NOTE).forEach(::publish)
+        repeat(SETTLE_TICKS) { tick() }
+    }
+
+    fun publish(changes: List<Change>) {
+        val note = ReleaseNote(NoteId("n$notes"), ReleaseNumber(notes), "bench", changes)
+        notes++
+        add(LogRecord.Note(note))
+    }
+
+    /** Lets one tick period pass: a log read that is due, a tick, and the replies of the peers. */
+    fun tick() {
+        now += TICK
+        pendingRead?.let { from ->
+            pendingRead = null
+            feed(HostEvent.LogRead(now, page(from).right()))
+        }
+        feed(HostEvent.Tick(WALL_START + now.inWholeMilliseconds))
+    }
+
+    fun feed(event: HostEvent): List<HostEffect> {
+        val effects = reducer.reduce(event, now)
+        effects.forEach(::perform)
+        return effects
+    }
+
+    private fun perform(effect: HostEffect) {
+        when (effect) {
+            is HostEffect.ReadLog -> pendingRead = effect.from
+            is HostEffect.AppendToLog -> {
+                appends++
+                effect.records.forEach(::add)
+            }
+            is HostEffect.SendFrame -> {
+                peerBytes += BinaryCodec.encode(PeerFrame.serializer(), effect.frame).size + FRAME_LENGTH_BYTES
+                answer(effect)
+            }
+            else -> Unit
+        }
+    }
+
+    private fun answer(sent: HostEffect.SendFrame) {
+        val probe = sent.frame.message as? PeerMessage.Probe ?: return
+        val reply = PeerMessage.ProbeReply(probe.id, probe.membership, logReadable = true)
+        val offset = LogOffset(log.size - 1L)
+        feed(HostEvent.FrameReceived(PeerFrame(1, sent.to.host, sent.to.incarnation, offset, reply)))
+    }
+
+    private fun add(record: LogRecord) {
+        log += LogCodec.encode(record)
+    }
+
+    private fun page(from: LogOffset): LogPage {
+        val end = minOf(log.size, from.value.toInt() + PAGE)
+        val records = (from.value.toInt() until end).map { StoredRecord(LogOffset(it.toLong()), log[it]) }
+        return LogPage(LogOffset(0), LogOffset(log.size.toLong()), records)
+    }
+
+    private fun assignSlots() {
+        members.forEachIndexed { i, member ->
+            val own = (0 until slots()).filter { it % members.size == i }
+            if (own.isNotEmpty()) add(LogRecord.SlotsAssigned(own, member.incarnation, own.map { null }))
+        }
+    }
+
+    private fun slots(): Int = if (size.hosts > MANY_HOSTS) TARGET_SLOTS else TODAY_SLOTS
+
+    private fun firstRelease(): List<Change> {
+        val models = List(size.models) { Change.PutModel(Model(ModelId("model-$it"))) }
+        val servers = List(size.servers) { Change.PutBackendServer(server(it)) }
+        val organisations = List(size.organisations) {
+            Change.PutOrganisation(Organisation(OrganisationId("org-$it"), rate = 1_000_000, burst = 4_000_000))
+        }
+        val keys = List(size.organisations * KEYS_PER_ORGANISATION) {
+            val owner = OrganisationId("org-${it % size.organisations}")
+            Change.PutKey(Key(KeyHash.of("key-$it"), owner))
+        }
+        return models + servers + organisations + keys
+    }
+
+    private fun server(index: Int) = BackendServer(
+        id = BackendServerId("server-$index"),
+        address = "10.${index / SUBNET / SUBNET}.${index / SUBNET % SUBNET}.${index % SUBNET}:8000",
+        dataCentre = DataCentreId("dc-${index % DATA_CENTRES}"),
+        role = if (index % 2 == 0) Role.PREFILL else Role.DECODE,
+        models = listOf(ModelId("model-${index / 2 % size.models}")),
+    )
+
+    private fun member(index: Int) = Member(
+        host = HostId("host-$index"),
+        incarnation = Incarnation("host-$index#1"),
+        address = "10.9.${index / SUBNET}.${index % SUBNET}:7000",
+        dataCentre = DataCentreId("dc-${index % DATA_CENTRES}"),
+        region = RegionId("region-${index % DATA_CENTRES % REGIONS}"),
+    )
+
+    companion object {
+        val TICK = 50.milliseconds
+        const val KEYS_PER_ORGANISATION = 2
+
+        private const val WALL_START = 1_790_000_000_000L
+        private const val CHANGES_PER_NOTE = 200
+        private const val SETTLE_TICKS = 200
+        private const val PAGE = 500
+        private const val FRAME_LENGTH_BYTES = 4
+        private const val SUBNET = 250
+        private const val DATA_CENTRES = 20
+        private const val REGIONS = 7
+        private const val MANY_HOSTS = 50
+        private const val TODAY_SLOTS = 64
+        private const val TARGET_SLOTS = 2_048
+    }
+}
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/KtorPeerTransport.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/KtorPeerTransport.kt
@@ -39,7 +39,8 @@
 ) : PeerTransport {
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.IO)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selectorJob = SupervisorJob()
+    private val selector = SelectorManager(Dispatchers.IO + selectorJob)
     private val handshake = PeerHandshake(secret)
     private val links = ConcurrentHashMap<String, PeerLink>()
     private val accepted = AtomicInteger()
@@ -62,7 +63,11 @@
         if (bytes == null) refused("own frame for ${to.host} exceeds the limit") else link(to.address).send(bytes)
     }
 
-    /** Returns when the port is free again, so that a restart can bind it. */
+    /**
+     * Returns when the port is free again, so that a restart can bind it.
+     *
+     * A closed channel keeps its port until the selector that it is registered with has ended.
+     */
     override fun close() {
         runBlocking {
             job.cancelAndJoin()
@@ -70,8 +75,10 @@
                 close()
                 awaitClosed()
             }
+            selector.close()
+            selectorJob.complete()
+            selectorJob.join()
         }
-        selector.close()
     }
 
     private fun link(address: String): PeerLink = links.computeIfAbsent(address) {
