Test the scheduler against a naive reference and tighten the bound

The differential test plays hosts that lose, repeat and delay reports and compares slots and KV pieces with sums made anew after every event.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Bound.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/Bound.kt
@@ -8,14 +8,13 @@
  * Upper bound on goodput: one omniscient queue per pool in front of all its prefill workers joined to one, with warm
  * prefix caches, and all its paced decode slots.
  *
- * It knows answer lengths and slot times, so that it wastes nothing and starts only what meets its deadline.
+ * It knows answer lengths and slot times, so that it wastes nothing and starts only what meets its deadline. Answers keep
+ * the time between tokens that the slots in use at their start give.
  */
 internal class Bound(workload: Workload, private val model: String) {
     private val prefills = workload.workers.filter { it.model == model && it.role == Role.PREFILL }
     private val decodes = workload.workers.filter { it.model == model && it.role == Role.DECODE }
     private val slots = decodes.sumOf { it.pacedSlots() }
-    private val stepMicros =
-        slots / decodes.filter { it.pacedSlots() > 0 }.sumOf { it.pacedSlots() / it.stepMicros(it.pacedSlots()) }
     private val slotFreeAt = PriorityQueue<Long>().apply { repeat(slots) { add(0L) } }
 
     /** Marks those of [arrivals] that are served in time. */
@@ -34,15 +33,23 @@
     private fun start(request: Request, now: Long): Long {
         val readyAt = now + prefillMicros(request)
         val decodeAt = maxOf(readyAt, slotFreeAt.peek())
-        request.refused = decodeAt + stepMicros > request.deadline
+        val step = stepMicros(slotFreeAt.count { it > decodeAt } / slots.toDouble())
+        request.refused = decodeAt + step > request.deadline
         if (request.refused) return now
         slotFreeAt.poll()
-        slotFreeAt.add(decodeAt + (request.outputTokens * stepMicros).toLong())
-        request.firstTokenAt = decodeAt + stepMicros.toLong()
-        request.finishedAt = request.firstTokenAt + ((request.outputTokens - 1) * stepMicros).toLong()
+        slotFreeAt.add(decodeAt + (request.outputTokens * step).toLong())
+        request.firstTokenAt = decodeAt + step.toLong()
+        request.finishedAt = request.firstTokenAt + ((request.outputTokens - 1) * step).toLong()
         return readyAt
     }
 
+    /** Time between tokens with the share [used] of the slots in use, over the slots of all workers. */
+    private fun stepMicros(used: Double): Double {
+        val paced = decodes.filter { it.pacedSlots() > 0 }
+        return slots /
+            paced.sumOf { it.pacedSlots() / it.stepMicros((it.pacedSlots() * used).toInt().coerceAtLeast(1)) }
+    }
+
     private fun prefillMicros(request: Request): Long {
         val tokens = (request.promptTokens - request.cacheableTokens).coerceAtLeast(1)
         return (1 / prefills.sumOf { 1 / it.prefillMicros(tokens) }).toLong()
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -129,9 +129,7 @@
     }
 
     private fun withdrawn(id: RequestId, now: Long) {
-        val work = works[id] ?: return
-        if (work.ended) return
-        end(work, now)
+        end(works[id] ?: return, now)
         pumpAll(now)
     }
 
--- a/anvilvalve-rules-scheduling/src/test/kotlin/io/anvilvalve/rules/scheduling/PoolSchedulerSpec.kt
+++ b/anvilvalve-rules-scheduling/src/test/kotlin/io/anvilvalve/rules/scheduling/PoolSchedulerSpec.kt
@@ -1,9 +1,12 @@
 package io.anvilvalve.rules.scheduling
 
+import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.RequestId
 import io.anvilvalve.api.peer.Phase
 import io.anvilvalve.api.peer.PlacementOutcome.Placed
 import io.anvilvalve.api.peer.PlacementOutcome.Refused
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.port.CacheEvent
 import io.anvilvalve.api.release.Role
 import io.anvilvalve.api.result.ResultCode
 import io.kotest.core.spec.style.FunSpec
@@ -76,4 +79,102 @@
             driver.tick(6.seconds)
             driver.held("d") shouldBe (0 to 0)
         }
+
+        test("a decode server gets no more than keeps the time between tokens on target") {
+            val driver = Driver(prefill, server("d", Role.DECODE, slots = 20))
+            repeat(60) {
+                driver.submit(item("$it", output = 50)).shouldBeInstanceOf<Placed>()
+                driver.report("$it", Phase.PREFILL_FINISHED)
+                driver.report("$it", Phase.FIRST_TOKEN)
+                driver.now += 50.milliseconds * 30
+                // 30 ms per token with one request: slower than the target however few run.
+                driver.report("$it", Phase.DECODE_FINISHED, tokens = 50, spent = 30.milliseconds * 50)
+            }
+            driver.submit(item("a")).shouldBeInstanceOf<Placed>()
+            driver.report("a", Phase.PREFILL_FINISHED)
+            driver.submit(item("b")) shouldBe null
+        }
+
+        test("work spills over to another data centre only when the near one is full") {
+            val near = server("near", Role.DECODE, slots = 2)
+            val far = server("far", Role.DECODE, slots = 2, centre = "b")
+            val driver = Driver(prefill, far, near)
+            val decodes = (1..4).map { number ->
+                (driver.submit(item("$number")) as Placed).decode.value.also {
+                    driver.report("$number", Phase.PREFILL_FINISHED)
+                }
+            }
+            decodes.sorted() shouldBe listOf("far", "far", "near", "near")
+            decodes.first() shouldBe "near"
+        }
+
+        test("a prefill goes to the server that has its prefix cached") {
+            val driver = Driver(server("p1", Role.PREFILL), server("p2", Role.PREFILL), server("d", Role.DECODE))
+            val events = listOf(CacheEvent(1, true, 7), CacheEvent(2, true, 8))
+            driver.send(SchedulingEvent.CacheReported(BackendServerId("p2"), events))
+            val placed = driver.submit(item("1", prompt = 2_500, prefixes = listOf(7, 8))) as Placed
+            placed.prefill.value shouldBe "p2"
+        }
+
+        test("retries beyond the budget are refused, so that failures do not multiply the load") {
+            val settings = SchedulingSettings(retryBurst = 2.0, breaker = BreakerSettings(threshold = 100))
+            val driver = Driver(prefill, server("d", Role.DECODE), settings = settings)
+            val outcomes = (1..4).map {
+                driver.submit(item("1"), attempt = it).also { _ ->
+                    driver.report("1", Phase.PREFILL_FAILED, attempt = it)
+                }
+            }
+            outcomes.take(3).forEach { it.shouldBeInstanceOf<Placed>() }
+            outcomes.last() shouldBe Refused(ResultCode.NO_BACKEND_SERVER)
+        }
+
+        test("a failing server is left alone, and its recovery is announced once") {
+            val driver = Driver(prefill, decode)
+            repeat(3) {
+                driver.submit(item("$it"))
+                driver.report("$it", Phase.DECODE_FAILED)
+            }
+            driver.submit(item("a")) shouldBe null
+            driver.tick(1.seconds).keys shouldBe setOf("a")
+            val recovered = driver.send(
+                SchedulingEvent.Progressed(RequestId("a"), 1, Phase.FIRST_TOKEN, 1, 20.milliseconds),
+            )
+            recovered shouldBe listOf(SchedulingEffect.HealthChanged(BackendServerId("d"), true))
+        }
+
+        test("a new owner counts announced work and frees it once") {
+            val driver = Driver(prefill, decode)
+            val placed = Placed(BackendServerId("p"), BackendServerId("d"))
+            repeat(2) { driver.send(SchedulingEvent.RunningAnnounced(item("1"), 1, placed)) }
+            driver.held("d") shouldBe (1 to 2)
+            driver.submit(item("2")) shouldBe null
+            driver.report("1", Phase.DECODE_FINISHED, tokens = 10) shouldContainKey "2"
+            driver.send(SchedulingEvent.RunningAnnounced(item("1"), 1, placed))
+            driver.held("d") shouldBe (1 to 2)
+        }
+
+        test("long batch prefills leave a prefill server for short interactive work") {
+            val driver = Driver(server("p1", Role.PREFILL), server("p2", Role.PREFILL), server("d", Role.DECODE))
+            val batch = listOf("1", "2").map {
+                driver.submit(item(it, workClass = WorkClass.BATCH, prompt = 20_000, budget = 60.seconds))
+            }
+            batch.first().shouldBeInstanceOf<Placed>()
+            batch.last() shouldBe null
+            driver.submit(item("3", prompt = 200)).shouldBeInstanceOf<Placed>()
+        }
+
+        test("a pool with one prefill server still runs long batch prefills") {
+            val driver = Driver(prefill, server("d", Role.DECODE))
+            driver.submit(item("1", workClass = WorkClass.BATCH, prompt = 20_000, budget = 60.seconds))
+                .shouldBeInstanceOf<Placed>()
+        }
+
+        test("a withdrawn release of a server does not forget the work that it still holds") {
+            val driver = Driver(prefill, decode)
+            driver.submit(item("1"))
+            driver.servers(prefill)
+            driver.servers(prefill, decode)
+            driver.held("d") shouldBe (1 to 2)
+            driver.submit(item("2")) shouldBe null
+        }
     })
--- /dev/null
+++ b/anvilvalve-rules-scheduling/src/test/kotlin/io/anvilvalve/rules/scheduling/ReferenceHosts.kt
@@ -0,0 +1,104 @@
+package io.anvilvalve.rules.scheduling
+
+import io.anvilvalve.api.peer.Phase
+import io.anvilvalve.api.peer.PlacementOutcome
+import io.anvilvalve.api.peer.PlacementOutcome.Placed
+import io.anvilvalve.api.peer.WorkItem
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Naive reference of the occupancy: a list of attempts, from which counts are summed up anew each time.
+ *
+ * It plays the hosts as well: it draws the steps of placed attempts and loses, repeats and delays their reports.
+ */
+internal class ReferenceHosts(private val random: Random) {
+    private val attempts = LinkedHashMap<String, Attempt>()
+    private val late = ArrayList<SchedulingEvent.Progressed>()
+
+    /** Answers by request; a repeated answer must be the same. */
+    val answers = HashMap<String, PlacementOutcome>()
+
+    fun submitted(item: WorkItem) {
+        attempts[item.id.value] = Attempt(item)
+    }
+
+    fun answered(id: String, outcome: PlacementOutcome) {
+        check(answers.putIfAbsent(id, outcome).let { it == null || it == outcome }) { "two answers for $id" }
+        val attempt = attempts[id] ?: return
+        if (outcome is Placed) attempt.placed = outcome else attempts.remove(id)
+    }
+
+    fun ended(id: String) {
+        attempts.remove(id)
+    }
+
+    fun waiting(): List<String> = attempts.values.filter { it.placed == null }.map { it.item.id.value }
+
+    fun running(): List<String> = attempts.values.filter { it.placed != null }.map { it.item.id.value }
+
+    fun item(id: String): WorkItem? = attempts[id]?.item
+
+    /** Attempts and KV pieces held at [server], by the reports that the scheduler has got. */
+    fun held(server: String): Pair<Int, Int> {
+        val decodes = attempts.values.filter { it.placed?.decode?.value == server }
+        val prefills = attempts.values.filter { it.placed?.prefill?.value == server && it.seen < PREFILLED }
+        val results = attempts.values.filter { it.placed?.prefill?.value == server && it.seen < DECODING }
+        val pieces = decodes.sumOf { Work.pieces(it.item.promptTokens + it.item.maxTokens) } +
+            results.sumOf { Work.pieces(it.item.promptTokens) }
+        return decodes.size + prefills.size to pieces
+    }
+
+    /** Next report of a random running attempt, maybe lost, repeated or out of order; null when none is due. */
+    fun nextReports(): List<SchedulingEvent.Progressed> {
+        val attempt = attempts.values.filter { it.placed != null && it.sent < STEPS.size }.randomOrNull(random)
+        val report = attempt?.let { report(it) }
+        val reports = ArrayList<SchedulingEvent.Progressed>()
+        if (report != null) {
+            when (random.nextInt(FATES)) {
+                0 -> Unit
+                1 -> late.add(report)
+                2 -> reports += listOf(report, report)
+                else -> reports += report
+            }
+        }
+        if (late.isNotEmpty() && random.nextInt(FATES) == 0) reports += late.removeAt(random.nextInt(late.size))
+        return reports
+    }
+
+    /** Applies what the scheduler must make of [event]. */
+    fun reported(event: SchedulingEvent.Progressed) {
+        val attempt = attempts[event.id.value] ?: return
+        when (event.phase) {
+            Phase.PREFILL_STARTED -> Unit
+            Phase.PREFILL_FINISHED -> attempt.seen = maxOf(attempt.seen, PREFILLED)
+            Phase.FIRST_TOKEN -> attempt.seen = DECODING
+            else -> attempts.remove(event.id.value)
+        }
+    }
+
+    private fun report(attempt: Attempt): SchedulingEvent.Progressed {
+        val failure = FAILURES.random(random).takeIf { random.nextInt(FAILURE_ODDS) == 0 }
+        val phase = failure ?: STEPS[attempt.sent]
+        attempt.sent = if (failure != null) STEPS.size else attempt.sent + 1
+        val spent: Duration = (1 + random.nextInt(MAX_STEP)).milliseconds
+        return SchedulingEvent.Progressed(attempt.item.id, 1, phase, random.nextInt(MAX_STEP), spent)
+    }
+
+    private class Attempt(val item: WorkItem) {
+        var placed: Placed? = null
+        var sent = 0
+        var seen = 0
+    }
+
+    private companion object {
+        const val PREFILLED = 1
+        const val DECODING = 2
+        const val FATES = 8
+        const val FAILURE_ODDS = 12
+        const val MAX_STEP = 400
+        val STEPS = listOf(Phase.PREFILL_STARTED, Phase.PREFILL_FINISHED, Phase.FIRST_TOKEN, Phase.DECODE_FINISHED)
+        val FAILURES = listOf(Phase.PREFILL_FAILED, Phase.DECODE_FAILED, Phase.CANCELLED)
+    }
+}
