--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/CallerAnswer.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/CallerAnswer.kt
@@ -18,10 +18,15 @@
     val firstToken: Duration? = null,
     val duration: Duration = Duration.ZERO,
 ) {
-    /** Returns what is wrong with this answer to [call]; null when nothing is. */
-    fun faultOf(call: ModelCall): String? = when {
+    /** Whether the answer says, before any of it was sent, that the request was not run. */
+    val isRefusal: Boolean get() = notRun && text.isEmpty()
+
+    /** Returns what is wrong with this answer to [call]; null when nothing is, or when it truly was not run. */
+    fun faultOf(call: ModelCall): String? = reason(call)?.let { "$it; $call" }
+
+    private fun reason(call: ModelCall): String? = when {
         !call.expected.startsWith(text) -> "wrong or doubled text"
-        call.cancelAfter != null -> null
+        call.cancelAfter != null || isRefusal -> null
         error != null -> "failed with $error, status $status"
         !complete || text != call.expected -> "cut after ${text.length} of ${call.expected.length} characters"
         else -> null
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/CallerClient.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/CallerClient.kt
@@ -24,6 +24,9 @@
 
 /** Sends requests as callers do, and again when an answer says that the request was not run. */
 internal class CallerClient(private val http: OkHttpClient) {
+    // Blocking calls of many callers would hold all threads that hosts and stand-ins of this process share.
+    private val callers = Dispatchers.IO.limitedParallelism(MAX_CALLERS)
+
     /** Sends [call] to [hosts] in turn until one runs it. */
     suspend fun send(hosts: List<DemoHost>, call: ModelCall, onToken: (Int) -> Unit = {}): CallerAnswer {
         var answer = sendOnce(hosts.first(), call, onToken)
@@ -38,7 +41,7 @@
 
     /** Sends [call] to [host]. */
     suspend fun sendOnce(host: DemoHost, call: ModelCall, onToken: (Int) -> Unit = {}): CallerAnswer =
-        withContext(Dispatchers.IO) {
+        withContext(callers) {
             val path = if (call.chat) "chat/completions" else "completions"
             val request = Request.Builder().url("http://${host.callers}/v1/$path")
                 .header("Authorization", "Bearer ${call.tenant.key}")
@@ -54,7 +57,7 @@
         path: String,
         key: String? = null,
         idempotencyKey: String? = null,
-    ): Pair<Int, String> = withContext(Dispatchers.IO) {
+    ): Pair<Int, String> = withContext(callers) {
         val request = Request.Builder().url("http://${host.callers}/svc/$path").post("{}".toRequestBody())
         key?.let { request.header("Authorization", "Bearer $it") }
         idempotencyKey?.let { request.header("Idempotency-Key", it) }
@@ -148,10 +151,13 @@
         }
     }
 
-    private companion object {
-        const val HTTP_OK = 200
-        const val MAX_TRIES = 40
-        val RETRIED = setOf(429, 503)
-        val RETRY_DELAY = 250.milliseconds
+    companion object {
+        /** Times that a request is sent while answers say that it was not run. */
+        const val MAX_TRIES = 20
+
+        private const val HTTP_OK = 200
+        private const val MAX_CALLERS = 256
+        private val RETRIED = setOf(429, 503)
+        private val RETRY_DELAY = 250.milliseconds
     }
 }
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/DemoCommand.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/DemoCommand.kt
@@ -26,7 +26,8 @@
         Configurator.setRootLevel(if (verbose) Level.INFO else Level.ERROR)
         val passed = DemoFleet(hosts).use { fleet ->
             runBlocking {
-                fleet.start()
+                val time = fleet.start()
+                echo("release 1 in force on ${fleet.hosts.size} hosts after ${time.inWholeMilliseconds} ms")
                 if (serve) serve(fleet) else MainJob(fleet, ::echo).run()
             }
         }
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/DemoFleet.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/DemoFleet.kt
@@ -38,6 +38,7 @@
     suspend fun start(): Duration {
         Files.writeString(tokenFile, operatorToken)
         Files.writeString(secretFile, UUID.randomUUID().toString())
+        standins.warmUp(OkHttpBackendServerClient(http))
         hosts.forEach { it.host.start() }
         hosts.forEachIndexed { index, host -> standins.liveList.put(liveHost(index, host)) }
         append(LogRecord.Note(DemoRelease.note(standins)))
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/MainJob.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/MainJob.kt
@@ -4,6 +4,7 @@
 import io.anvilvalve.api.id.ModelId
 import io.anvilvalve.api.log.LogRecord
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
@@ -22,6 +23,7 @@
 
 /** Sends the demo's requests through the fleet and checks every answer. */
 internal class MainJob(private val fleet: DemoFleet, private val print: (String) -> Unit) {
+    private val refusals = AtomicInteger()
     private val findings = Findings()
     private val measures = FourMeasures()
     private val client = CallerClient(fleet.http)
@@ -30,7 +32,6 @@
 
     /** Returns whether no violation was found. */
     suspend fun run(): Boolean {
-        step("release 1 in force on ${fleet.hosts.size} hosts") { }
         step("one streamed answer") { showStream() }
         step("mixed requests of ${DemoRelease.tenants.size} organisations") { mixedRequests() }
         step("callers that cancel") { cancels() }
@@ -80,11 +81,16 @@
         calls.mapIndexed { index, call ->
             async {
                 delay(SPREAD * index.toDouble() / calls.size)
-                findings.check(client.send(rotated(index), call).faultOf(call))
+                check(client.send(rotated(index), call), call)
             }
         }.awaitAll()
     }
 
+    private fun check(answer: CallerAnswer, call: ModelCall) {
+        if (answer.isRefusal) refusals.incrementAndGet()
+        findings.check(answer.faultOf(call))
+    }
+
     private fun rotated(index: Int): List<DemoHost> = fleet.running.let { hosts ->
         val shift = index % hosts.size
         hosts.drop(shift) + hosts.take(shift)
@@ -155,7 +161,7 @@
         started.await()
         val drained = drain(host)
         findings.expect(drained == HTTP_ACCEPTED) { "drain answered $drained" }
-        streams.awaitAll().zip(calls).forEach { (answer, call) -> findings.check(answer.faultOf(call)) }
+        streams.awaitAll().zip(calls).forEach { (answer, call) -> check(answer, call) }
         val clean = holdsWithin(DRAIN_LIMIT) { host.host.exit.isDone } && host.host.exit.get()
         findings.expect(clean) { "${host.name} did not stop cleanly" }
         measures.add(metrics(host))
@@ -170,7 +176,7 @@
         val engine = fleet.standins.decodeEngines.maxBy { it.engine.held().size }
         print("  ${engine.engine.name} is killed with ${engine.engine.held().size} requests")
         engine.crash()
-        streams.awaitAll().zip(calls).forEach { (answer, call) -> findings.check(answer.faultOf(call)) }
+        streams.awaitAll().zip(calls).forEach { (answer, call) -> check(answer, call) }
     }
 
     /** Starts [calls]; the first result completes once each has delivered tokens or ended. */
@@ -180,7 +186,7 @@
     ): Pair<Deferred<Unit>, List<Deferred<CallerAnswer>>> {
         val started = CompletableDeferred<Unit>()
         val waiting = AtomicInteger(calls.size)
-        val scope = kotlinx.coroutines.CoroutineScope(Dispatchers.IO)
+        val scope = CoroutineScope(Dispatchers.Default)
         val streams = calls.mapIndexed { index, call ->
             scope.async {
                 var counted = false
@@ -203,6 +209,7 @@
     private suspend fun report(): Boolean {
         fleet.running.forEach { measures.add(metrics(it)) }
         measures.render().forEach(print)
+        print("requests refused as not run in all ${CallerClient.MAX_TRIES} tries: ${refusals.get()}")
         findings.all.forEach { print("violation: $it") }
         print("${findings.checked} checks, ${findings.all.size} violations")
         return findings.all.isEmpty()
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/ModelCall.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/ModelCall.kt
@@ -20,4 +20,7 @@
     /** Answer that the engines give; a host turns chat messages into this prompt. */
     val expected: String
         get() = AnswerText.answer(model, if (chat) "user: $text\nassistant: " else text, maxTokens)
+
+    override fun toString(): String =
+        "${tenant.organisation.id}, $model, prompt of ${text.length} characters, max_tokens $maxTokens, stream $stream"
 }
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/Standins.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/Standins.kt
@@ -1,6 +1,9 @@
 package io.anvilvalve.demo
 
 import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.port.BackendServerClient
+import io.anvilvalve.api.port.EngineRequest
 import io.anvilvalve.api.release.Role
 import io.anvilvalve.standins.EngineConfig
 import io.anvilvalve.standins.FakeEngine
@@ -31,6 +34,33 @@
     /** Returns the attempts that hold memory in any engine, with the engine's name. */
     fun held(): List<String> = engines.values.flatMap { demo -> demo.engine.held().map { "${demo.engine.name} $it" } }
 
+    /**
+     * Sends some requests to each engine directly.
+     *
+     * The first calls in a new process take hundreds of milliseconds to load code, which hosts would take for slow
+     * engines.
+     */
+    suspend fun warmUp(client: BackendServerClient) {
+        val models = DemoRelease.models.map { it.id }
+        engines.values.forEach { engine ->
+            val server = engine.toBackendServer(models)
+            repeat(WARM_UP_CALLS) { attempt ->
+                val request =
+                    EngineRequest(
+                        RequestId("warm-up"),
+                        attempt,
+                        models.first(),
+                        "warm up",
+                        promptTokens = 2,
+                        maxTokens = 4,
+                    )
+                if (server.role == Role.PREFILL) client.prefill(server, request)
+                if (server.role == Role.DECODE) client.decode(server, request, kv = null).collect { }
+                client.cancel(server, request.engineId)
+            }
+        }
+    }
+
     override fun close() {
         engines.values.forEach { it.server.close() }
         listOf(logServer, listServer, serviceServer).forEach { it.close() }
@@ -41,4 +71,8 @@
         val engine = FakeEngine("${role.name.lowercase()}-$number", config, network)
         DemoEngine(engine, serveEngine(engine), DemoRelease.DATA_CENTRES[number % DemoRelease.DATA_CENTRES.size])
     }
+
+    private companion object {
+        const val WARM_UP_CALLS = 20
+    }
 }
--- a/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/StandinServer.kt
+++ b/anvilvalve-standins/src/main/kotlin/io/anvilvalve/standins/http/StandinServer.kt
@@ -22,7 +22,8 @@
     private val closeCheckInterval: Duration = CLOSE_CHECK_INTERVAL,
     routes: RoutesConfig.(StandinServer) -> Unit,
 ) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    // A view of its own, because blocking callers in the same process could hold all threads of the shared one.
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO.limitedParallelism(MAX_THREADS))
     private val javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
         config.startup.startupWatcherEnabled = false
