Refuse deeply nested bodies and test callers' faults and behaviour

Cause: a body of 30,000 open brackets overflowed the stack of the JSON reader and was answered with 500. Change: nesting is bounded to 64 before the body is parsed. The watch on callers goes on after bytes of a next request, because a caller that sent some and closed was not noticed.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
@@ -46,7 +46,7 @@
         private val deadline: ComparableTimeMark,
         private val gone: () -> Unit,
     ) : AutoCloseable {
-        private val buffer = BufferUtil.allocate(1)
+        private val buffer = BufferUtil.allocate(BUFFER_BYTES)
         private var closed = false
 
         /** Whether bytes of a next request were dropped. */
@@ -57,13 +57,14 @@
         @Synchronized
         internal fun check() {
             if (closed) return
-            if (deadline.hasPassedNow() || (!pipelined && isGone())) {
+            if (deadline.hasPassedNow() || isGone()) {
                 close()
                 gone()
             }
         }
 
         private fun isGone(): Boolean = try {
+            BufferUtil.clear(buffer)
             val count = endPoint.fill(buffer)
             if (count > 0) pipelined = true
             count < 0
@@ -86,5 +87,6 @@
 
     private companion object {
         const val INTERVAL_MILLIS = 100L
+        const val BUFFER_BYTES = 1_024
     }
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CompletionRequest.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CompletionRequest.kt
@@ -28,6 +28,7 @@
 ) {
     companion object {
         const val MAX_MAX_TOKENS = 32_768
+        private const val MAX_NESTING = 64
 
         private val json = Json {
             ignoreUnknownKeys = true
@@ -46,10 +47,12 @@
             build(body, chatPrompt(body.messages), defaultMaxTokens)
         }
 
-        private fun Raise<Rejection>.parse(text: String): Body =
-            Either.catch { json.decodeFromString(Body.serializer(), text) }
+        private fun Raise<Rejection>.parse(text: String): Body {
+            ensure(isNestedWithin(text, MAX_NESTING)) { malformed("The body is nested too deeply.") }
+            return Either.catch { json.decodeFromString(Body.serializer(), text) }
                 .mapLeft { malformed("The body is not the expected JSON.") }
                 .bind()
+        }
 
         private fun Raise<Rejection>.build(body: Body, prompt: String, defaultMaxTokens: Int): CompletionRequest {
             val model = ensureNotNull(body.model?.text()?.takeIf { it.isNotEmpty() }) {
--- /dev/null
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/CallerBehaviourSpec.kt
@@ -0,0 +1,126 @@
+package io.anvilvalve.host
+
+import arrow.core.right
+import io.anvilvalve.api.port.TokenChunk
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.core.HostEffect
+import io.anvilvalve.core.HostEvent
+import io.anvilvalve.settings.HostSettings
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.flow.flow
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Guards against requests that go on for callers who are gone, and against callers who fill memory or threads. */
+class CallerBehaviourSpec :
+    FunSpec({
+        fun arrivedId(test: TestHost) = test.reducer.next<HostEvent.RequestArrived>().request.id
+
+        test("a caller that closes while its request waits is noticed") {
+            TestHost(script = { emptyList() }).use { test ->
+                val socket = openRequest(test.host.callerPort)
+                val id = arrivedId(test)
+                socket.close()
+                test.reducer.next<HostEvent.CallerGone>().id shouldBe id
+            }
+        }
+
+        test("a caller that closes between two tokens is noticed and its attempt is closed") {
+            val closed = CountDownLatch(1)
+            TestHost().use { test ->
+                test.backends.stream = {
+                    flow {
+                        emit(TokenChunk(0, "a").right())
+                        try {
+                            awaitCancellation()
+                        } finally {
+                            closed.countDown()
+                        }
+                    }
+                }
+                val socket = openRequest(test.host.callerPort)
+                val id = arrivedId(test)
+                test.reducer.next<HostEvent.TokensDelivered>()
+                socket.close()
+                test.reducer.next<HostEvent.CallerGone>().id shouldBe id
+                closed.await(30, TimeUnit.SECONDS) shouldBe true
+            }
+        }
+
+        test("a caller that never reads stops the engine's stream and is cut off") {
+            val sent = AtomicLong()
+            val text = "x".repeat(1_000)
+            val settings = HostSettings.Callers(idleTimeout = 300.milliseconds)
+            TestHost(settings).use { test ->
+                test.backends.stream = {
+                    flow {
+                        repeat(1_000_000) {
+                            emit(TokenChunk(it, text).right())
+                            sent.addAndGet(text.length.toLong())
+                        }
+                    }
+                }
+                openRequest(test.host.callerPort, receiveBuffer = 4_096).use {
+                    test.reducer.next<HostEvent.CallerGone>()
+                    // Socket buffers of both ends hold some megabytes at most; the whole answer would be 1 GB.
+                    sent.get() shouldBeLessThan 32_000_000
+                }
+            }
+        }
+
+        test("requests over the limit are refused and run nothing") {
+            TestHost(HostSettings.Callers(maxRequests = 1), script = { emptyList() }).use { test ->
+                openRequest(test.host.callerPort).use {
+                    arrivedId(test)
+                    val answer = post("${test.url}/v1/completions", """{"model":"m","prompt":"hi"}""")
+                    answer.statusCode() shouldBe 503
+                    answer.body() shouldContain """"executed":"no""""
+                    test.reducer.seen.isEmpty() shouldBe true
+                }
+            }
+        }
+
+        test("a caller that sends more and then closes while its request waits is noticed, and runs nothing more") {
+            TestHost(script = { emptyList() }).use { test ->
+                val socket = openRequest(test.host.callerPort)
+                val id = arrivedId(test)
+                socket.getOutputStream().write(rawRequest("", """{"model":"m","prompt":"hi"}"""))
+                socket.close()
+                test.reducer.next<HostEvent.CallerGone>().id shouldBe id
+                test.reducer.seen.isEmpty() shouldBe true
+            }
+        }
+
+        test("a body that drips in is refused after the body timeout") {
+            val time = kotlin.time.TestTimeSource()
+            TestHost(time = time).use { test ->
+                connect(test.host.callerPort).use { socket ->
+                    val body = """{"model":"m","prompt":"hi"}"""
+                    socket.getOutputStream().write(rawRequest("", body, "Content-Length: 1000\r\n"))
+                    time += HostSettings.Callers().bodyTimeout + 1.milliseconds
+                    socket.getOutputStream().write(" ".toByteArray())
+                    val answer = socket.getInputStream().readAllBytes().decodeToString()
+                    answer shouldStartWith "HTTP/1.1 408"
+                    answer shouldContain ResultCode.REQUEST_TIMEOUT.code
+                }
+            }
+        }
+
+        test("a request that runs too long is given up") {
+            val time = kotlin.time.TestTimeSource()
+            TestHost(time = time, script = { emptyList<HostEffect>() }).use { test ->
+                openRequest(test.host.callerPort).use {
+                    val id = arrivedId(test)
+                    time += HostSettings.Callers().requestTimeout + 1.milliseconds
+                    test.reducer.next<HostEvent.CallerGone>().id shouldBe id
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/Raw.kt
@@ -0,0 +1,34 @@
+package io.anvilvalve.host
+
+import java.net.Socket
+
+private const val READ_LIMIT_MILLIS = 30_000
+
+/** Opens a connection whose reads fail instead of hanging the test. */
+internal fun connect(port: Int): Socket = Socket("127.0.0.1", port).apply { soTimeout = READ_LIMIT_MILLIS }
+
+/** Sends [request] as it is and returns everything that comes back until the host closes the connection. */
+internal fun raw(port: Int, request: ByteArray): String = connect(port).use { socket ->
+    socket.getOutputStream().write(request)
+    socket.getInputStream().readAllBytes().decodeToString()
+}
+
+/** A completion request as text, with [headers] added to the usual ones. */
+internal fun rawRequest(
+    headers: String,
+    body: String,
+    length: String = "Content-Length: ${body.length}\r\n",
+): ByteArray = (
+    "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ${TestHost.KEY}\r\n" +
+        "Connection: close\r\n$length$headers\r\n$body"
+    ).toByteArray()
+
+/** Opens a connection and sends a whole streamed request without reading the answer. */
+internal fun openRequest(port: Int, receiveBuffer: Int? = null): Socket {
+    val socket = Socket()
+    receiveBuffer?.let { socket.receiveBufferSize = it }
+    socket.connect(java.net.InetSocketAddress("127.0.0.1", port))
+    val body = """{"model":"m","prompt":"hi","max_tokens":32768,"stream":true}"""
+    socket.getOutputStream().write(rawRequest("", body))
+    return socket
+}
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/TestHost.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/TestHost.kt
@@ -28,6 +28,7 @@
 import io.anvilvalve.api.release.BackendServer
 import io.anvilvalve.api.release.Role
 import io.anvilvalve.api.result.Executed
+import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.core.HostEffect
 import io.anvilvalve.core.HostEvent
 import io.anvilvalve.net.PeerTransport
@@ -40,6 +41,7 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.TimeSource
 
 internal val decodeServer = BackendServer(BackendServerId("d1"), "127.0.0.1:1", DataCentreId("dc1"), Role.DECODE)
 internal val kvHandle =
@@ -74,15 +76,14 @@
     is HostEvent.ServiceArrived -> listOf(HostEffect.CallService(event.request.id, decodeServer))
 
     is HostEvent.ServiceReplied -> event.result.fold(
-        { listOf(HostEffect.FailAnswer(event.id, io.anvilvalve.api.result.ResultCode.BACKEND_FAILED)) },
+        { listOf(HostEffect.FailAnswer(event.id, ResultCode.BACKEND_FAILED)) },
         { listOf(HostEffect.ReplyService(event.id, it, replayed = false)) },
     )
 
     else -> emptyList()
 }
 
-private fun failed(event: HostEvent.DecodeEnded) =
-    HostEffect.FailAnswer(event.id, io.anvilvalve.api.result.ResultCode.STREAM_BROKEN)
+private fun failed(event: HostEvent.DecodeEnded) = HostEffect.FailAnswer(event.id, ResultCode.STREAM_BROKEN)
 
 /** Engines whose streams the test scripts; every call is recorded. */
 internal class FakeBackends : BackendServerClient {
@@ -149,6 +150,7 @@
 /** An [EntryHost] on loopback with free ports, a scripted reducer and fake engines. */
 internal class TestHost(
     callers: HostSettings.Callers = HostSettings.Callers(),
+    time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     script: (HostEvent) -> List<HostEffect> = ::relayEverything,
 ) : AutoCloseable {
     val backends = FakeBackends()
@@ -168,6 +170,7 @@
         EmptyList,
         backends,
         NoPeers,
+        time,
         reducer = { reducer },
     ).apply { start() }
 
