--- a/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Fault.kt
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Fault.kt
@@ -29,13 +29,11 @@
     }),
     HOST_PAUSED({ host -> fleet.pause(host, 12.seconds) }),
     OPERATORS_RACE({
-        fleet.publish(Change.PutModel(Model(ModelId("m"), version = "3")), expected = latestRelease())
-        fleet.publish(Change.PutModel(Model(ModelId("m"), version = "4")), expected = latestRelease())
+        fleet.publish(Change.PutModel(Model(ModelId("m"), version = "3")))
+        fleet.publish(Change.PutModel(Model(ModelId("m"), version = "4")))
     }),
     ENGINE_DIES({
         fleet.backends.kill(BackendServerId("d0"))
         fleet.queue.after(15.seconds) { fleet.backends.revive(BackendServerId("d0")) }
     }),
 }
-
-private fun Scenario.latestRelease() = fleet.hosts.values.mapNotNull { it.status?.release }.max()
--- a/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/FaultMatrixSpec.kt
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/FaultMatrixSpec.kt
@@ -12,23 +12,25 @@
  *
  * A cell is reached when its step occurred; cells and reached cells are counted and printed.
  */
-class FaultMatrixSpec : FunSpec({
-    for (step in Step.entries) {
-        test("faults at $step") {
-            val plans = plans()
-            var reached = 0
-            val broken = plans.flatMap { plan ->
-                val run = MatrixCell(step, plan)
-                val violations = run.violations()
-                if (run.hits > 0) reached++
-                violations.map { "$step $plan: $it" }
+class FaultMatrixSpec :
+    FunSpec({
+        for (step in Step.entries) {
+            test("faults at $step") {
+                val plans = plans()
+                var reached = 0
+                val broken = plans.flatMap { plan ->
+                    val run = MatrixCell(step, plan)
+                    val violations = run.violations()
+                    if (run.hits > 0) reached++
+                    violations.map { "$step $plan: $it" }
+                }
+                println("fault matrix: $step, ${plans.size} cells, $reached reached, ${broken.size} violations")
+                withClue("cells reached") { reached shouldBeGreaterThan 0 }
+                broken.forEach(::println)
+                broken.shouldBeEmpty()
             }
-            println("fault matrix: $step, ${plans.size} cells, $reached reached, ${broken.size} violations")
-            withClue("cells reached") { reached shouldBeGreaterThan 0 }
-            broken.shouldBeEmpty()
         }
-    }
-})
+    })
 
 /** Each fault once and twice, and every pair. */
 private fun plans(): List<List<Fault>> {
@@ -47,8 +49,9 @@
 
     fun violations(): List<String> {
         val fleet = scenario.fleet
+        if (step.atStart) watch()
         scenario.warmUp()
-        fleet.onEffect = { host, effect -> if (step.matches(effect)) hit(host) }
+        watch()
         scenario.traffic()
         fleet.queue.runUntil(Scenario.READY + FAULTY)
         fleet.onEffect = { _, _ -> }
@@ -56,6 +59,10 @@
         return scenario.invariants.all()
     }
 
+    private fun watch() {
+        scenario.fleet.onEffect = { host, effect -> if (step.matches(effect)) hit(host) }
+    }
+
     private fun hit(host: VirtualHost) {
         if (hits == 0) {
             scenario.fleet.queue.after(0.milliseconds) { plan.first().hit(scenario, host) }
--- a/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Scenario.kt
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/Scenario.kt
@@ -13,6 +13,7 @@
 import io.anvilvalve.api.release.Organisation
 import io.anvilvalve.api.release.Role
 import io.anvilvalve.api.release.Route
+import io.anvilvalve.core.HostEvent
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -41,6 +42,23 @@
             fleet.queue.after((round * 700).milliseconds) { burst(round) }
         }
         fleet.queue.after(900.milliseconds) { fleet.publish(Change.PutModel(Model(ModelId("m"), version = "2"))) }
+        fleet.queue.after(4.seconds) { markLeaving() }
+        fleet.queue.after(10.seconds) { lateRequests() }
+        fleet.queue.after(12.seconds) { fleet.deliver(host(HOSTS - 1), HostEvent.DrainRequested(60.seconds)) }
+        fleet.queue.after(16.seconds) { lateRequests() }
+    }
+
+    private fun markLeaving() {
+        val at = fleet.now
+        val leaving = engine("p1", Role.PREFILL, fencing = true, leaving = true)
+        fleet.publish(leaving) { fleet.ledger.leavingServers[BackendServerId("p1")] = at }
+    }
+
+    private fun lateRequests() = repeat(HOSTS) { i ->
+        // The balancer sends nothing to a host that is not ready.
+        if (host(i).alive && host(i).status?.ready == true) {
+            fleet.request(host(i), LARGE, "large-key", prompt = 300, max = 60)
+        }
     }
 
     private fun burst(round: Int) {
@@ -64,7 +82,7 @@
         if (hash in fleet.ledger.withdrawnKeys) return
         fleet.ledger.withdrawnKeys[hash] = fleet.now
         fleet.hosts.values.filter { it.alive }.forEach {
-            fleet.deliver(it, io.anvilvalve.core.HostEvent.KeyWithdrawn(hash))
+            fleet.deliver(it, HostEvent.KeyWithdrawn(hash))
         }
     }
 
@@ -74,31 +92,39 @@
         engine("p1", Role.PREFILL, fencing = true),
         engine("d0", Role.DECODE),
         engine("d1", Role.DECODE, fencing = true),
-        Change.PutBackendServer(BackendServer(BackendServerId("s0"), "127.0.0.1:1", DataCentreId("dc-0"), Role.SERVICE)),
-        Change.PutBackendServer(BackendServer(BackendServerId("s1"), "127.0.0.1:2", DataCentreId("dc-1"), Role.SERVICE)),
-        Change.PutOrganisation(Organisation(SMALL, RATE, BURST)),
-        Change.PutOrganisation(Organisation(LARGE, RATE * 20, BURST * 20)),
+        Change.PutBackendServer(
+            BackendServer(BackendServerId("s0"), "127.0.0.1:1", DataCentreId("dc-0"), Role.SERVICE),
+        ),
+        Change.PutBackendServer(
+            BackendServer(BackendServerId("s1"), "127.0.0.1:2", DataCentreId("dc-1"), Role.SERVICE),
+        ),
+        Change.PutOrganisation(Organisation(SMALL, RATE, BURST, maxTokens = 500)),
+        Change.PutOrganisation(Organisation(LARGE, RATE * 20, BURST * 20, maxTokens = 2_000)),
         Change.PutKey(Key(KeyHash.of("small-key"), SMALL)),
         Change.PutKey(Key(KeyHash.of("large-key"), LARGE)),
-        Change.PutRoute(Route(RouteId("loan"), listOf(BackendServerId("s0"), BackendServerId("s1")), repeatable = false)),
-    )
-
-    private fun engine(name: String, role: Role, fencing: Boolean = false) = Change.PutBackendServer(
-        BackendServer(
-            id = BackendServerId(name),
-            address = "127.0.0.1:${9000 + name.hashCode() % 100}",
-            dataCentre = DataCentreId("dc-0"),
-            role = role,
-            models = listOf(ModelId("m")),
-            checksFencing = fencing,
+        Change.PutRoute(
+            Route(RouteId("loan"), listOf(BackendServerId("s0"), BackendServerId("s1")), repeatable = false),
         ),
     )
 
+    private fun engine(name: String, role: Role, fencing: Boolean = false, leaving: Boolean = false) =
+        Change.PutBackendServer(
+            BackendServer(
+                id = BackendServerId(name),
+                address = "127.0.0.1:${9000 + name.last().digitToInt() + role.ordinal * 10}",
+                dataCentre = DataCentreId("dc-0"),
+                role = role,
+                models = listOf(ModelId("m")),
+                checksFencing = fencing,
+                leaving = leaving,
+            ),
+        )
+
     companion object {
         val SMALL = OrganisationId("small")
         val LARGE = OrganisationId("large")
-        const val RATE = 50L
-        const val BURST = 1_000L
+        const val RATE = 100L
+        const val BURST = 2_000L
         const val HOSTS = 3
         const val BASE_PORT = 7000
         const val ROUNDS = 4
--- a/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/VirtualFleet.kt
+++ b/anvilvalve-verification/src/test/kotlin/io/anvilvalve/verification/VirtualFleet.kt
@@ -18,6 +18,7 @@
 import io.anvilvalve.api.release.Change
 import io.anvilvalve.api.release.ReleaseNote
 import io.anvilvalve.api.result.Executed
+import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.core.HostEffect
 import io.anvilvalve.core.HostEvent
@@ -40,6 +41,9 @@
     /** Called with every effect before it is performed; tests inject faults here. */
     var onEffect: (VirtualHost, HostEffect) -> Unit = { _, _ -> }
 
+    /** Takes the hosts' log lines. */
+    var trace: (String) -> Unit = {}
+
     /** Replaces an effect by others; tests of the checkers plant violations here. */
     var mutate: (HostEffect) -> List<HostEffect> = { listOf(it) }
 
@@ -69,10 +73,13 @@
         return host
     }
 
-    fun publish(vararg changes: Change, expected: ReleaseNumber = ReleaseNumber((notes).toLong())): NoteId {
+    /** Publishes a note on top of the newest release that any host has; [appended] runs when the log has taken it. */
+    fun publish(vararg changes: Change, appended: () -> Unit = {}): NoteId {
         notes += 1
         val id = NoteId("note-$notes-${random.nextInt()}")
-        log.append(listOf(LogRecord.Note(ReleaseNote(id, expected, "operator", changes.toList())))) {}
+        val newest = hosts.values.mapNotNull { it.status?.release }.maxOrNull() ?: ReleaseNumber(0)
+        val note = ReleaseNote(id, newest, "operator", changes.toList())
+        log.append(listOf(LogRecord.Note(note))) { if (it.isRight()) appended() }
         return id
     }
 
@@ -130,39 +137,61 @@
     private fun perform(host: VirtualHost, effect: HostEffect) {
         when (effect) {
             is HostEffect.ReadLog -> queue.after(effect.delay) { readLog(host, effect) }
-            is HostEffect.AppendToLog -> log.append(effect.records) { deliver(host, HostEvent.Appended(effect.records, it)) }
+
+            is HostEffect.AppendToLog -> log.append(effect.records) {
+                deliver(host, HostEvent.Appended(effect.records, it))
+            }
+
             is HostEffect.SendFrame -> send(host, effect.to, effect.frame)
+
             is HostEffect.StartPrefill -> prefill(host, effect)
+
             is HostEffect.StartDecode -> decode(host, effect)
+
             is HostEffect.StopAttempt -> streams[effect.id to effect.attempt] = false
+
             is HostEffect.CancelAttempt -> backends.cancel(effect.server.id, effect.engineId) {
                 deliver(host, HostEvent.CancelAnswered(effect.server.id, effect.engineId, it))
             }
+
             is HostEffect.CallService -> call(host, effect)
+
             is HostEffect.ReadState ->
                 queue.after(1.milliseconds) {
                     deliver(host, HostEvent.StateRead(effect.server.id, backends.state(effect.server)))
                 }
+
             is HostEffect.SendOrder -> queue.after(1.milliseconds) {
                 val refused = backends.order(effect.server, effect.order.fencing, effect.order.target)
                 deliver(host, HostEvent.OrderAnswered(effect.server.id, refused))
             }
+
             is HostEffect.Refuse -> answer(effect.id, effect.code, effect.code.executed)
-            is HostEffect.FailAnswer -> {
-                if (host.status?.draining == true && effect.code == ResultCode.STREAM_BROKEN) ledger.cutByDrain += effect.id
-                answer(effect.id, effect.code, Executed.UNKNOWN)
-            }
+
+            is HostEffect.FailAnswer -> answer(effect.id, effect.code, Executed.UNKNOWN)
+
             is HostEffect.FinishAnswer -> answer(effect.id, null, null)
+
             is HostEffect.ReplyService -> answer(effect.id, null, null, String(effect.reply.body))
+
             is HostEffect.StatusChanged -> statusChanged(host, effect)
+
             is HostEffect.Exit -> {
                 host.drainedClean = effect.clean
                 host.alive = false
             }
-            is HostEffect.WatchServers, is HostEffect.ReadyChanged, is HostEffect.Log, is HostEffect.Measure -> Unit
+
+            is HostEffect.Log -> logged(host, effect)
+
+            is HostEffect.WatchServers, is HostEffect.ReadyChanged, is HostEffect.Measure -> Unit
         }
     }
 
+    private fun logged(host: VirtualHost, line: HostEffect.Log) {
+        trace("$now ${host.member.incarnation} ${line.event} ${line.fields}")
+        if (line.event == LogEvent.DRAIN_DEADLINE_PASSED) ledger.cutByDrain += host.member.incarnation
+    }
+
     private fun readLog(host: VirtualHost, effect: HostEffect.ReadLog) {
         val sentAt = host.clock(now)
         log.read(effect.from) { deliver(host, HostEvent.LogRead(sentAt, it)) }
