--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/ReducerRig.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/ReducerRig.kt
@@ -89,14 +89,17 @@
     private fun perform(effect: HostEffect) {
         when (effect) {
             is HostEffect.ReadLog -> pendingRead = effect.from
+
             is HostEffect.AppendToLog -> {
                 appends++
                 effect.records.forEach(::add)
             }
+
             is HostEffect.SendFrame -> {
                 peerBytes += BinaryCodec.encode(PeerFrame.serializer(), effect.frame).size + FRAME_LENGTH_BYTES
                 answer(effect)
             }
+
             else -> Unit
         }
     }
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slope.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slope.kt
@@ -11,7 +11,8 @@
     private val meanY = points.map { it.second }.average()
 
     /** Cost of one more, by least squares. */
-    val slope: Double = points.sumOf { (x, y) -> (x - meanX) * (y - meanY) } / points.sumOf { (x, _) -> square(x - meanX) }
+    val slope: Double =
+        points.sumOf { (x, y) -> (x - meanX) * (y - meanY) } / points.sumOf { (x, _) -> square(x - meanX) }
 
     /** Cost at size zero. */
     val base: Double = meanY - slope * meanX
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slopes.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slopes.kt
@@ -12,7 +12,11 @@
         yield(heap("heap_per_host", "host", HOSTS) { FleetSize(hosts = it) })
         yield(heapPerRunningRequest())
         yield(idle("idle_cpu_per_organisation", "organisation", ORGANISATIONS) { FleetSize(organisations = it) })
-        yield(idle("idle_cpu_per_backend_server", "backend server", SERVERS) { FleetSize(servers = it, models = MODELS) })
+        yield(
+            idle("idle_cpu_per_backend_server", "backend server", SERVERS) {
+                FleetSize(servers = it, models = MODELS)
+            },
+        )
         yield(idle("idle_cpu_per_host", "host", HOSTS) { FleetSize(hosts = it) })
         yield(peerBytesPerHost())
         yield(cpuPerChange())
@@ -20,63 +24,97 @@
         yield(cpuPerRequest())
     }
 
-    private fun heap(name: String, per: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope =
-        Slope(name, "bytes", per, sizes.map { n ->
+    private fun heap(name: String, per: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope = Slope(
+        name,
+        "bytes",
+        per,
+        sizes.map { n ->
             val (rig, bytes) = Cost.heapBytes { ReducerRig(fleet(n)).start() }
             n.toDouble() to bytes.toDouble() - rig.logBytes
-        })
+        },
+    )
 
-    private fun heapPerRunningRequest(): Slope = Slope("heap_per_running_request", "bytes", "running request", REQUESTS.map { n ->
-        val size = FleetSize(servers = RUNNING_SERVERS)
-        val rig = ReducerRig(size).start()
-        val driver = RequestDriver(rig, size)
-        val (started, bytes) = Cost.heapBytes { (1..n).count { driver.startOnly() } }
-        started.toDouble() to bytes.toDouble()
-    })
+    private fun heapPerRunningRequest(): Slope = Slope(
+        "heap_per_running_request",
+        "bytes",
+        "running request",
+        REQUESTS.map { n ->
+            val size = FleetSize(servers = RUNNING_SERVERS)
+            val rig = ReducerRig(size).start()
+            val driver = RequestDriver(rig, size)
+            val (started, bytes) = Cost.heapBytes { (1..n).count { driver.startOnly() } }
+            started.toDouble() to bytes.toDouble()
+        },
+    )
 
-    private fun idle(name: String, per: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope =
-        Slope(name, "us/s", per, sizes.map { n ->
+    private fun idle(name: String, per: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope = Slope(
+        name,
+        "us/s",
+        per,
+        sizes.map { n ->
             val rig = ReducerRig(fleet(n)).start()
             repeat(WARM_UP_TICKS) { rig.tick() }
             n.toDouble() to Cost.cpuMicros { repeat(MEASURED_TICKS) { rig.tick() } } / MEASURED_SECONDS
-        })
+        },
+    )
 
-    private fun peerBytesPerHost(): Slope = Slope("peer_bytes_per_host", "bytes/s", "host", HOSTS.map { n ->
-        val rig = ReducerRig(FleetSize(hosts = n)).start()
-        val before = rig.peerBytes
-        repeat(MEASURED_TICKS) { rig.tick() }
-        n.toDouble() to (rig.peerBytes - before) / MEASURED_SECONDS
-    })
+    private fun peerBytesPerHost(): Slope = Slope(
+        "peer_bytes_per_host",
+        "bytes/s",
+        "host",
+        HOSTS.map { n ->
+            val rig = ReducerRig(FleetSize(hosts = n)).start()
+            val before = rig.peerBytes
+            repeat(MEASURED_TICKS) { rig.tick() }
+            n.toDouble() to (rig.peerBytes - before) / MEASURED_SECONDS
+        },
+    )
 
-    private fun cpuPerChange(): Slope = Slope("cpu_per_change", "us", "change/s", CHANGES.map { n ->
-        val rig = ReducerRig(TARGET).start()
-        repeat(WARM_UP_CHANGES) { change(rig, it) }
-        n.toDouble() to Cost.cpuMicros { repeat(n) { change(rig, it) } }
-    })
+    private fun cpuPerChange(): Slope = Slope(
+        "cpu_per_change",
+        "us",
+        "change/s",
+        CHANGES.map { n ->
+            val rig = ReducerRig(TARGET).start()
+            repeat(WARM_UP_CHANGES) { change(rig, it) }
+            n.toDouble() to Cost.cpuMicros { repeat(n) { change(rig, it) } }
+        },
+    )
 
-    private fun logBytesPerChange(): Slope = Slope("log_bytes_per_change", "bytes", "change", CHANGES.map { n ->
-        val rig = ReducerRig(FleetSize()).start()
-        val before = rig.logBytes
-        repeat(n) { change(rig, it) }
-        n.toDouble() to (rig.logBytes - before).toDouble()
-    })
+    private fun logBytesPerChange(): Slope = Slope(
+        "log_bytes_per_change",
+        "bytes",
+        "change",
+        CHANGES.map { n ->
+            val rig = ReducerRig(FleetSize()).start()
+            val before = rig.logBytes
+            repeat(n) { change(rig, it) }
+            n.toDouble() to (rig.logBytes - before).toDouble()
+        },
+    )
 
     private fun change(rig: ReducerRig, index: Int) {
-        val organisation = Organisation(OrganisationId("org-${index % FleetSize().organisations}"), 1_000_000L + index, 4_000_000)
+        val organisation =
+            Organisation(OrganisationId("org-${index % FleetSize().organisations}"), 1_000_000L + index, 4_000_000)
         rig.publish(listOf(Change.PutOrganisation(organisation)))
         rig.tick()
     }
 
-    private fun cpuPerRequest(): Slope = Slope("cpu_per_request", "us", "request", CHANGES.map { n ->
-        val size = FleetSize(hosts = 1, servers = OWNED_SERVERS)
-        val rig = ReducerRig(size).start()
-        val driver = RequestDriver(rig, size)
-        repeat(WARM_UP_REQUESTS) { runAndTick(rig, driver) }
-        var whole = 0
-        val micros = Cost.cpuMicros { repeat(n) { if (runAndTick(rig, driver)) whole++ } }
-        check(whole == n) { "$whole of $n requests were answered whole" }
-        n.toDouble() to micros
-    })
+    private fun cpuPerRequest(): Slope = Slope(
+        "cpu_per_request",
+        "us",
+        "request",
+        CHANGES.map { n ->
+            val size = FleetSize(hosts = 1, servers = OWNED_SERVERS)
+            val rig = ReducerRig(size).start()
+            val driver = RequestDriver(rig, size)
+            repeat(WARM_UP_REQUESTS) { runAndTick(rig, driver) }
+            var whole = 0
+            val micros = Cost.cpuMicros { repeat(n) { if (runAndTick(rig, driver)) whole++ } }
+            check(whole == n) { "$whole of $n requests were answered whole" }
+            n.toDouble() to micros
+        },
+    )
 
     private fun runAndTick(rig: ReducerRig, driver: RequestDriver): Boolean = driver.run().also { rig.tick() }
 
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/SlopesCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/SlopesCommand.kt
@@ -14,7 +14,8 @@
 internal class SlopesCommand : CliktCommand(name = "slopes") {
     private val json by option("--json", help = "One JSON object per line.").flag()
 
-    override fun help(context: Context): String = "Measures the cost of control per organisation, host, server and request."
+    override fun help(context: Context): String =
+        "Measures the cost of control per organisation, host, server and request."
 
     override fun run() = Slopes().all().forEach { echo(if (json) toJson(it) else toText(it)) }
 
@@ -29,6 +30,13 @@
         put("base", s.base)
         put("unit", s.unit)
         put("per", s.per)
-        putJsonArray("points") { s.points.forEach { (x, y) -> addJsonArray { add(x); add(y) } } }
+        putJsonArray("points") {
+            s.points.forEach { (x, y) ->
+                addJsonArray {
+                    add(x)
+                    add(y)
+                }
+            }
+        }
     }.toString()
 }
--- a/anvilvalve-core/src/test/kotlin/io/anvilvalve/core/DrainSpec.kt
+++ b/anvilvalve-core/src/test/kotlin/io/anvilvalve/core/DrainSpec.kt
@@ -9,40 +9,41 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against a planned stop that cuts a request before its deadline, or that never ends. */
-class DrainSpec : FunSpec({
-    class Case(
-        val name: String,
-        val idleAfter: Duration,
-        val deadline: Duration,
-        val leftAnswered: Boolean,
-        val cuts: Boolean,
-        val exitBefore: Duration,
-    )
+class DrainSpec :
+    FunSpec({
+        class Case(
+            val name: String,
+            val idleAfter: Duration,
+            val exitBefore: Duration,
+            val cuts: Boolean = false,
+            val leftAnswered: Boolean = true,
+        )
 
-    val cases = listOf(
-        Case("nothing runs", idleAfter = 0.seconds, 60.seconds, leftAnswered = true, cuts = false, 7.seconds),
-        Case("a stream ends in time", idleAfter = 40.seconds, 60.seconds, leftAnswered = true, cuts = false, 44.seconds),
-        Case("a stream is too long", idleAfter = 90.seconds, 60.seconds, leftAnswered = true, cuts = true, 64.seconds),
-        Case("the log is down", idleAfter = 0.seconds, 60.seconds, leftAnswered = false, cuts = false, 17.seconds),
-    )
+        val deadline = 60.seconds
+        val cases = listOf(
+            Case("nothing runs", idleAfter = 0.seconds, exitBefore = 7.seconds),
+            Case("a long stream ends in time", idleAfter = 40.seconds, exitBefore = 44.seconds),
+            Case("a stream is too long", idleAfter = 90.seconds, exitBefore = 64.seconds, cuts = true),
+            Case("the log is down", idleAfter = 0.seconds, exitBefore = 17.seconds, leftAnswered = false),
+        )
 
-    for (case in cases) {
-        test(case.name) {
-            val out = Outbox()
-            val drain = Drain(out)
-            var cut = false
-            drain.start(case.deadline)
-            val effects = ArrayList<HostEffect>()
-            while (out.now < case.exitBefore) {
-                out.now += 50.milliseconds
-                val running = if (out.now < case.idleAfter && !cut) 1 else 0
-                drain.tick(running, cancels = 0, onDeadline = { cut = true }, onLeaving = { })
-                if (case.leftAnswered && drain.step == Drain.Step.LEAVING) drain.left()
-                effects += out.drain()
-                if (running > 0 && !cut) effects shouldNotContain HostEffect.Exit(clean = true)
+        for (case in cases) {
+            test(case.name) {
+                val out = Outbox()
+                val drain = Drain(out)
+                var cut = false
+                drain.start(deadline)
+                val effects = ArrayList<HostEffect>()
+                while (out.now < case.exitBefore) {
+                    out.now += 50.milliseconds
+                    val running = if (out.now < case.idleAfter && !cut) 1 else 0
+                    drain.tick(running, cancels = 0, onDeadline = { cut = true }, onLeaving = { })
+                    if (case.leftAnswered && drain.step == Drain.Step.LEAVING) drain.left()
+                    effects += out.drain()
+                    if (running > 0 && !cut) effects shouldNotContain HostEffect.Exit(clean = true)
+                }
+                cut shouldBe case.cuts
+                effects shouldContain HostEffect.Exit(clean = true)
             }
-            cut shouldBe case.cuts
-            effects shouldContain HostEffect.Exit(clean = true)
         }
-    }
-})
+    })
