--- a/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/KeyCommands.kt
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/KeyCommands.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.cli
 
+import com.github.ajalt.clikt.core.terminal
 import com.github.ajalt.clikt.parameters.arguments.argument
 import io.anvilvalve.api.id.KeyHash
 import io.anvilvalve.api.result.ResultCode
@@ -25,7 +26,7 @@
 /** Reads the key from standard input, because arguments are visible to other users of the machine. */
 internal class KeyHashCommand : OutcomeCommand("hash", "Prints the hash of the key in the first line of the input.") {
     override suspend fun perform(): Outcome {
-        val key = readlnOrNull()?.trim().orEmpty()
+        val key = terminal.readLineOrNull(hideInput = true)?.trim().orEmpty()
         if (key.isEmpty()) {
             return Outcome(ExitCode.REJECTED, ResultCode.MALFORMED_REQUEST, listOf("the input has no key"))
         }
--- a/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/Main.kt
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/Main.kt
@@ -1,8 +1,10 @@
 package io.anvilvalve.cli
 
-import arrow.core.Either
 import com.github.ajalt.clikt.core.main
+import kotlin.system.exitProcess
 
-/** Starts the program. */
-fun main(args: Array<String>) = CtlCommand.create { Either.Left(listOf("settings files cannot be read yet: $it")) }
-    .main(args)
+/** Starts the program; it ends at once, because idle HTTP connections would keep it alive for a minute. */
+fun main(args: Array<String>) {
+    CtlCommand.create(::openCtl).main(args)
+    exitProcess(ExitCode.OK.number)
+}
--- /dev/null
+++ b/anvilvalve-cli/src/test/kotlin/io/anvilvalve/cli/ReleaseActionsSpec.kt
@@ -0,0 +1,142 @@
+package io.anvilvalve.cli
+
+import io.anvilvalve.api.BinaryCodec
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.ReleaseNumber
+import io.anvilvalve.api.log.LogCodec
+import io.anvilvalve.api.port.LogService
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.rules.release.ReleaseSnapshot
+import io.anvilvalve.rules.release.SnapshotCodec
+import io.anvilvalve.standins.FakeLogService
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration.Companion.seconds
+
+/** Shape of the hosts' snapshots as far as the client knows it. */
+@Serializable
+private data class StoredState(val fleet: String, val release: ReleaseSnapshot)
+
+/** Lets another operator append [other] just before the first append of the client. */
+private class Race(private val log: FakeLogService, private val other: suspend () -> Unit) : LogService by log {
+    private var isRun = false
+
+    override suspend fun append(records: List<ByteArray>) = run {
+        if (!isRun) other()
+        isRun = true
+        log.append(records)
+    }
+}
+
+/** Guards against notes that take effect twice or unseen, and against a wrong word on which operator won. */
+class ReleaseActionsSpec :
+    FunSpec({
+        fun actions(log: LogService) = ReleaseActions(log, 30.seconds)
+
+        listOf<Pair<String, FakeLogService.() -> Unit>>(
+            "no fault" to {},
+            "a lost answer" to { faults.lostAnswers.next(1) },
+            "two lost answers" to { faults.lostAnswers.next(2) },
+            "a lost append" to { faults.lostAppends.next(1) },
+            "a lost append and a lost answer" to {
+                faults.lostAppends.next(1)
+                faults.lostAnswers.next(1)
+            },
+        ).forEach { (name, inject) ->
+            test("a note takes effect once after $name") {
+                runTest {
+                    val log = FakeLogService()
+                    log.inject()
+                    actions(log).publish(note("n", 0)).exit shouldBe ExitCode.OK
+                    actions(log).publish(note("n", 0)).exit shouldBe ExitCode.OK
+                    LogReader(log).read().getOrNull()?.release?.number shouldBe ReleaseNumber(1)
+                }
+            }
+        }
+
+        test("the loser of a race learns which note won") {
+            runTest {
+                val log = FakeLogService()
+                val outcome = actions(Race(log) { log.put(note("theirs", 0)) }).publish(note("mine", 0))
+                outcome.exit shouldBe ExitCode.OUTDATED
+                outcome.code shouldBe ResultCode.NOTE_OUTDATED
+                outcome.lines shouldContain "release 1 was made by note theirs of op"
+            }
+        }
+
+        test("a note of the same id with other content is not taken for this one") {
+            runTest {
+                val log = FakeLogService()
+                log.put(note("n", 0, model = "x"))
+                actions(log).publish(note("n", 0, model = "y")).exit shouldBe ExitCode.REJECTED
+            }
+        }
+
+        test("an outage before and during publishing is told apart") {
+            runTest {
+                val log = FakeLogService()
+                log.faults.down = true
+                actions(log).publish(note("n", 0)).lines.single() shouldContain "nothing was published"
+                log.faults.down = false
+                val outcome = actions(Race(log) { log.faults.down = true }).publish(note("n", 0))
+                outcome.exit shouldBe ExitCode.LOG_UNAVAILABLE
+                outcome.lines.single() shouldContain "may take effect later"
+            }
+        }
+
+        test("validate and publish list all faults and append nothing") {
+            runTest {
+                val log = FakeLogService()
+                val faulty = note("a b", 0, model = "m").let { it.copy(changes = it.changes + it.changes) }
+                listOf(actions(log).validate(faulty), actions(log).publish(faulty)).forEach { outcome ->
+                    outcome.exit shouldBe ExitCode.REJECTED
+                    outcome.lines.size shouldBe 2
+                }
+                log.endOffset shouldBe LogOffset(0)
+            }
+        }
+
+        test("the release comes from a snapshot when the log is truncated") {
+            runTest {
+                val log = FakeLogService()
+                log.put(note("n0", 0))
+                val state = ReleaseSnapshot(release = Release(ReleaseNumber(41)))
+                val bytes = BinaryCodec.encode(StoredState.serializer(), StoredState("skipped", state))
+                log.append(SnapshotCodec().split("s", LogOffset(0), bytes).map { LogCodec.encode(it) })
+                log.put(note("n1", 41))
+                log.truncateBefore(LogOffset(1))
+                LogReader(log).read().getOrNull()?.release?.number shouldBe ReleaseNumber(42)
+                log.truncateBefore(LogOffset(2))
+                withClue("without a snapshot the release is unknown") {
+                    actions(log).history(5).exit shouldBe ExitCode.LOG_UNAVAILABLE
+                }
+            }
+        }
+
+        test("diff names added, changed and removed entries") {
+            runTest {
+                val log = FakeLogService()
+                log.put(note("n0", 0, model = "m"))
+                actions(log).diff(note("n1", 1, model = "x")).lines shouldBe listOf("+ models x")
+                val model = note("n1", 1, model = "m")
+                actions(log).diff(model).lines shouldBe listOf("no difference")
+            }
+        }
+
+        test("a host is declared gone once, also when another note comes between") {
+            runTest {
+                val log = FakeLogService()
+                val race = Race(log) { log.put(note("theirs", 0)) }
+                actions(race).hostGone(Incarnation("h#1"), "op").exit shouldBe ExitCode.OK
+                actions(log).hostGone(Incarnation("h#1"), "op").exit shouldBe ExitCode.OK
+                LogReader(log).read().getOrNull()?.release?.number shouldBe ReleaseNumber(2)
+            }
+        }
+    })
--- a/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/EngineFleet.kt
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/EngineFleet.kt
@@ -168,7 +168,8 @@
         if (plant == OrderPlant.OLD_ORDER) {
             after(5.seconds) { arrive(host, id, order.copy(fencing = order.fencing - 1), isAnswerLost = true) }
         }
-        val delay = if (fault == OrderFault.LATE) times.orderTimeout - 100.milliseconds else 50.milliseconds
+        val isSlow = fault == OrderFault.LATE || fault == OrderFault.DEATH
+        val delay = if (isSlow) times.orderTimeout - 100.milliseconds else 50.milliseconds
         if (fault != OrderFault.LOST_REQUEST) after(delay) { arrive(host, id, order, isAnswerLost = fault != null) }
         if (fault != null) after(60.milliseconds) { reduce(host, ReleaseEvent.OrderAnswered(id, refused = null)) }
         when (fault) {
@@ -187,9 +188,10 @@
         }
     }
 
+    /** An operator states at once that the host is gone, while its last order may still be on its way. */
     private fun remove(host: Host) {
         host.isAlive = false
-        after(9.seconds) {
+        after(2.seconds) {
             members = members - host
             announce()
         }
--- a/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/FaultMatrixSpec.kt
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/FaultMatrixSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,13 +39,14 @@
         }
 
         listOf("single" to single.map { listOf(it) }, "paired" to pairs).forEach { (name, table) ->
-            test("$name faults break no invariant") {
+            test("$name faults break no invariant and leave no call blocked") {
                 table.forEach { planned ->
                     val fleet = play(planned)
                     withClue("$planned") {
                         fleet.checker.violations.shouldBeEmpty()
                         fleet.unanswered().shouldBeEmpty()
                         fleet.states().map { it.release }.toSet().size shouldBe 1
+                        fleet.probe("a") shouldBeIn setOf("replied", "replayed", "OUTCOME_UNKNOWN")
                     }
                 }
             }
--- a/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/OrderIssuerSpec.kt
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/OrderIssuerSpec.kt
@@ -22,15 +22,18 @@
         val model = ModelId("m")
 
         /**
-         * Two engines move from prefill to decode, one gets a new version; the others stay.
+         * Two engines move from prefill to decode, three get a new version, one of them after being idle.
          *
          * Decode starts below what the release names, so the cases look at the capacity of prefill.
          */
         fun fleet(
             vararg faults: Pair<Int, OrderFault>,
             plant: OrderPlant? = null,
+            checks: (Int) -> Boolean = { it % 2 == 0 },
             start: (Int) -> EngineTarget = {
-                EngineTarget(if (it < 4) Role.PREFILL else Role.DECODE, mapOf(model to if (it == 5) "0" else "1"))
+                val version = if (it in listOf(0, 4)) "0" else "1"
+                val models = if (it == 1) emptyMap() else mapOf(model to version)
+                EngineTarget(if (it < 4) Role.PREFILL else Role.DECODE, models)
             },
         ): EngineFleet {
             val servers = (0..5).map {
@@ -40,12 +43,12 @@
                     DataCentreId("d"),
                     if (it < 2) Role.PREFILL else Role.DECODE,
                     listOf(model),
-                    checksFencing = it % 2 == 0,
+                    checksFencing = checks(it),
                 )
             }
             val release = Release(ReleaseNumber(1), servers.associateBy { it.id }, mapOf(model to Model(model)))
             val engines = servers.withIndex().associate { (i, it) ->
-                it.id to VirtualEngine(it.checksFencing, start(i))
+                it.id to VirtualEngine(checks(i), start(i))
             }
             return EngineFleet(release, engines, faults.toMutableList(), plant)
         }
@@ -54,7 +57,14 @@
             val fleet = fleet()
             fleet.run(1.minutes)
             fleet.isDone shouldBe true
-            fleet.orders shouldBe 3
+            fleet.orders shouldBe 5
+            fleet.violations.filterNot { it.startsWith("DECODE") }.shouldBeEmpty()
+        }
+
+        test("a move waits while another one takes capacity from the same pool") {
+            val fleet = fleet(checks = { true })
+            fleet.run(1.minutes)
+            fleet.isDone shouldBe true
             fleet.violations.filterNot { it.startsWith("DECODE") }.shouldBeEmpty()
         }
 
--- a/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/VirtualFleet.kt
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/VirtualFleet.kt
@@ -120,6 +120,16 @@
         }
     }
 
+    /** Sends one more request for [key] without faults and returns its answer. */
+    fun probe(key: String): String? {
+        val id = hosts.indices.firstNotNullOfOrNull { request(it, key) }
+        repeat(50) {
+            advance(100.milliseconds)
+            hosts.indices.forEach { poll(it) }
+        }
+        return checker.answers[id]
+    }
+
     /** Requests whose host lives and that have no answer. */
     fun unanswered(): List<RequestId> =
         hosts.filter { it.isAlive }.flatMap { it.calls.keys }.filter { it !in checker.answers }
