--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/CentralBucket.kt
@@ -0,0 +1,26 @@
+package io.anvilvalve.bench.limits
+
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** One bucket that sees all requests of an organisation at once; the comparison for refusals and for the ceiling. */
+internal class CentralBucket(private val rate: Double, private val burst: Double) {
+    private var last = Duration.ZERO
+
+    var level = burst
+        private set
+
+    /** Takes [tokens] even when the level falls below zero. */
+    fun take(tokens: Double, now: Duration) {
+        level = minOf(burst, level + rate * (now - last).toDouble(DurationUnit.SECONDS)) - tokens
+        last = now
+    }
+
+    /** Takes [tokens] when the bucket holds them. */
+    fun tryTake(tokens: Double, now: Duration): Boolean {
+        take(0.0, now)
+        if (level < tokens) return false
+        take(tokens, now)
+        return true
+    }
+}
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsRun.kt
@@ -0,0 +1,156 @@
+package io.anvilvalve.bench.limits
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.release.Organisation
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.rules.fleet.FleetEffect
+import io.anvilvalve.rules.fleet.FleetEvent
+import io.anvilvalve.rules.fleet.FleetRules
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** One scenario under one policy, from a seed. */
+internal class LimitsRun(
+    private val workload: LimitsWorkload,
+    private val scenario: LimitsScenario,
+    private val policy: String,
+    seed: Long,
+) {
+    private class Request(val organisation: Organisation, val tokens: Long, val used: Long, val at: Duration) {
+        var admittedAt: Duration? = null
+        var refused: ResultCode? = null
+    }
+
+    private val arrivals = Random(seed)
+    private val organisations = List(workload.organisations) {
+        Organisation(OrganisationId("o$it"), workload.rate, workload.burst)
+    }
+    private val fleet = LimitsFleet(Random(seed + 1), organisations, ::newRules, ::answered)
+    private val requests = LinkedHashMap<RequestId, Request>()
+
+    /** Runs to the end and returns the figures of the time after the warm-up. */
+    fun measure(): LimitsResult {
+        repeat(workload.hosts) { fleet.start(it) }
+        organisations.forEachIndexed { index, it -> fleet.after(Duration.ZERO) { arrive(index, it) } }
+        fleet.runUntil(LimitsScenario.WARM_UP)
+        val bytes = fleet.sentBytes
+        val appends = fleet.appends
+        disturb()
+        fleet.runUntil(LimitsScenario.WARM_UP + scenario.length)
+        return result(fleet.sentBytes - bytes, fleet.appends - appends)
+    }
+
+    private fun newRules(member: Member, seed: Long): Reducer<FleetEvent, FleetEffect> = when (policy) {
+        "naive" -> NaiveLimits(workload.hosts)
+        else -> FleetRules(member, seed)
+    }
+
+    private fun disturb() {
+        when (scenario) {
+            LimitsScenario.CRASH -> fleet.after(10.seconds) { fleet.crash(1) }
+            LimitsScenario.CHURN -> churn(0)
+            LimitsScenario.LOG_DOWN -> {
+                fleet.logDown = true
+                fleet.after(10.minutes) { fleet.logDown = false }
+            }
+            LimitsScenario.PARTITION -> {
+                fleet.cutRegion = fleet.running.first { it.index == 1 }.member.region
+                fleet.after(2.minutes) { fleet.cutRegion = null }
+            }
+            LimitsScenario.RESTART -> repeat(workload.hosts) { index ->
+                fleet.crash(index)
+                fleet.after(5.seconds) { fleet.start(index) }
+            }
+            else -> Unit
+        }
+    }
+
+    private fun churn(index: Int) {
+        fleet.crash(index % workload.hosts)
+        fleet.after(5.seconds) { fleet.start(index % workload.hosts) }
+        fleet.after(20.seconds) { churn(index + 1) }
+    }
+
+    private fun arrive(index: Int, organisation: Organisation) {
+        val factor = if (scenario == LimitsScenario.FOUR_TIMES && index == 0) OVERLOAD else workload.load
+        val perSecond = organisation.rate * factor / (workload.requestTokens * workload.usedRatio)
+        fleet.after(exponential().seconds / perSecond) { arrive(index, organisation) }
+        val host = host(index) ?: return
+        val tokens = 1 + (workload.requestTokens * minOf(exponential(), LONGEST)).toLong()
+        val used = (tokens * minOf(1.0, 2 * workload.usedRatio * arrivals.nextDouble())).toLong()
+        val id = RequestId("q${requests.size}")
+        requests[id] = Request(organisation, tokens, used, fleet.now)
+        fleet.admit(host, id, organisation, tokens, workload.patience)
+    }
+
+    /** The load balancer sends requests only to hosts that are ready, as long as there is one. */
+    private fun host(organisation: Int): LimitsFleet.Process? {
+        val running = fleet.running.sortedBy { it.index }
+        val ready = running.filter { it.current }.ifEmpty { running }
+        val pinned = scenario == LimitsScenario.ONE_HOST && organisation == 0
+        return if (pinned) ready.firstOrNull() else ready.randomOrNull(arrivals)
+    }
+
+    private fun answered(id: RequestId, code: ResultCode?, process: LimitsFleet.Process) {
+        val request = requests.getValue(id)
+        request.refused = code
+        if (code != null) return
+        request.admittedAt = fleet.now
+        fleet.after(workload.runTime * exponential()) { fleet.settle(process, id, request.used) }
+    }
+
+    private fun result(bytes: Long, appends: Int): LimitsResult {
+        val seconds = scenario.length.inWholeMilliseconds / MILLIS
+        val counted = requests.values.filter { it.at >= LimitsScenario.WARM_UP && (it.admittedAt != null || it.refused != null) }
+        val central = organisations.associate { it.id to centralRefusals(it) }
+        val excess = organisations.sumOf { organisation ->
+            val refused = counted.count { it.organisation == organisation && it.refused != null }
+            maxOf(0, refused - central.getValue(organisation.id))
+        }
+        return LimitsResult(
+            scenario = scenario.label,
+            policy = policy,
+            peakOverCeilingRatio = organisations.maxOf(::peak),
+            refusedWithinRateRatio = excess.toDouble() / counted.size,
+            peerBytesPerHostPerSecond = bytes / seconds / workload.hosts,
+            logAppendsPerSecond = appends / seconds,
+            offered = counted.size,
+            admitted = counted.count { it.admittedAt != null },
+            refusedByCentralBucket = central.values.sum(),
+            refusals = counted.mapNotNull { it.refused?.code }.groupingBy { it }.eachCount().toSortedMap(),
+        )
+    }
+
+    /** Refusals after the warm-up of one bucket that is charged the true use of each request. */
+    private fun centralRefusals(organisation: Organisation): Int {
+        val bucket = CentralBucket(organisation.rate.toDouble(), organisation.burst.toDouble())
+        return requests.values.filter { it.organisation == organisation }
+            .count { !bucket.tryTake(it.used.toDouble(), it.at) && it.at >= LimitsScenario.WARM_UP }
+    }
+
+    private fun peak(organisation: Organisation): Double {
+        val bucket = CentralBucket(organisation.rate.toDouble(), organisation.burst.toDouble())
+        val lowest = requests.values.filter { it.organisation == organisation && it.admittedAt != null }
+            .sortedBy { it.admittedAt }
+            .minOfOrNull { request ->
+                bucket.take(request.used.toDouble(), checkNotNull(request.admittedAt))
+                bucket.level
+            } ?: return 0.0
+        return (organisation.burst - lowest) / organisation.burst
+    }
+
+    private fun exponential(): Double = -ln(1 - arrivals.nextDouble())
+
+    companion object {
+        val POLICIES = listOf("naive", "current")
+        private const val OVERLOAD = 4.0
+        private const val LONGEST = 8.0
+        private const val MILLIS = 1_000.0
+    }
+}
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetRules.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetRules.kt
@@ -57,7 +57,7 @@
     fun snapshot(): FleetSnapshot = view.snapshot(table.snapshot())
 
     /** Slots that this host may refill at [now]. */
-    internal fun refilledSlots(now: Duration): Set<Int> = if (isCurrent(now)) assigner.refilled() else emptySet()
+    internal fun refilledSlots(now: Duration): Set<Int> = if (isCurrent(now)) assigner.refilled else emptySet()
 
     private fun handle(event: FleetEvent, now: Duration) = when (event) {
         is FleetEvent.TailReached -> evidence.tailReached(event.sentAt)
@@ -222,7 +222,7 @@
 
     private fun slotsChanged(now: Duration) {
         assigner.tableChanged(now)
-        shares.slotsChanged(assigner.refilled(), currentClock, now)
+        shares.slotsChanged(assigner.refilled, currentClock, now)
     }
 
     private fun removalEffective(member: Member) {
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/OwnedShares.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/OwnedShares.kt
@@ -30,6 +30,7 @@
 
     /** Takes over the shares of new slots empty and drops those of lost slots. */
     fun slotsChanged(next: Set<Int>, clock: Duration, now: Duration) {
+        if (next == ownedSlots) return
         (ownedSlots - next).forEach { slot -> sharesBySlot[slot].orEmpty().forEach { owned.remove(it) } }
         (next - ownedSlots).forEach { slot ->
             sharesBySlot[slot].orEmpty().forEach { key ->
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
@@ -20,7 +20,8 @@
     private var nextAppend: Duration? = null
 
     /** Slots that this host refills: owned in log order and not being released. */
-    fun refilled(): Set<Int> = slots.ownedBy(self.incarnation).filter { it !in releasing }.toSet()
+    var refilled: Set<Int> = emptySet()
+        private set
 
     /** Notes what the log says; a slot counts as released from the moment the record is written. */
     fun tableChanged(now: Duration) {
@@ -28,6 +29,7 @@
         releasing.removeAll(done.toSet())
         done.forEach { givenUp[it] = now }
         freeSince.keys.removeIf { !isFree(it) }
+        refilled = slots.ownedBy(self.incarnation).filter { it !in releasing }.toSet()
     }
 
     /** Returns the record to append at [now], if any; called while the host is current and the log can be read. */
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetCheckerSpec.kt
@@ -0,0 +1,106 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.result.ResultCode
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against checkers that see nothing: each planted fault must be reported by some seed. */
+class FleetCheckerSpec :
+    FunSpec({
+        class Planted(
+            val fault: String,
+            val report: String,
+            val times: (Int) -> FleetTimes = { shortTimes },
+            val checksClock: Boolean = true,
+            val plant: (SimulatedHost) -> Unit = {},
+        )
+
+        val faults = listOf(
+            Planted("a taker does not wait for the effect of a removal", "is refilled by", times = {
+                shortTimes.copy(removalMargin = -shortTimes.freshness * 2)
+            }),
+            Planted("a paused host does not check the clock", "is refilled by", checksClock = false),
+            Planted("granted tokens are spent after their life", "over the limit", times = { index ->
+                shortTimes.copy(grantLife = if (index == 0) 10.milliseconds else 5.seconds)
+            }),
+            Planted("a fresh owner starts with a full bucket", "over the limit") { it.reducer = FullOwner(it.rules) },
+            Planted("a request is answered twice", "answered twice") { host ->
+                host.reducer = changing(host) { if (it is FleetEffect.Refused) listOf(it, it) else listOf(it) }
+            },
+            Planted("a refusal is lost", "not answered") { host ->
+                host.reducer = changing(host) { if (it is FleetEffect.Refused) emptyList() else listOf(it) }
+            },
+            Planted("the applied offset goes back", "goes back") { host ->
+                var reads = 0L
+                host.applied = { LogOffset(host.rules.applied.value - reads++ % 2) }
+            },
+            Planted("a host ignores released slots", "differs at offset") { host ->
+                if (host.member.host.value == "h0") host.reducer = ReleaseIgnored(host.rules)
+            },
+        )
+
+        faults.forEach { planted ->
+            test("checkers report when ${planted.fault}") {
+                val seen = (1L..MAX_SEED).toList().parallelStream().anyMatch { seed ->
+                    val world = FleetWorld(seed, 3 + (seed % 5).toInt(), timesOf = planted.times, plant = planted.plant)
+                    world.checksClockOnWake = planted.checksClock
+                    world.run(LENGTH)
+                    world.checker.violations.any { planted.report in it }
+                }
+                withClue("no seed up to $MAX_SEED") { seen shouldBe true }
+            }
+        }
+    }) {
+    /** Admits what the rules refuse, up to a full share for each slot that the host gained. */
+    private class FullOwner(private val rules: FleetRules) : Reducer<FleetEvent, FleetEffect> {
+        private var budget = 0L
+        private val asked = HashMap<RequestId, Long>()
+
+        override fun reduce(event: FleetEvent, now: Duration): List<FleetEffect> {
+            val before = rules.refilledSlots(now).size
+            if (event is FleetEvent.Admit) asked[event.id] = event.tokens
+            val effects = rules.reduce(event, now)
+            budget += maxOf(0, rules.refilledSlots(now).size - before) * SHARE
+            return effects.map { if (it is FleetEffect.Refused) admit(it) else it }
+        }
+
+        private fun admit(refused: FleetEffect.Refused): FleetEffect {
+            val tokens = asked.getValue(refused.id)
+            if (refused.code != ResultCode.RATE_EXCEEDED || tokens > budget) return refused
+            budget -= tokens
+            return FleetEffect.Admitted(refused.id)
+        }
+    }
+
+    /** Skips the records that release slots. */
+    private class ReleaseIgnored(private val rules: FleetRules) : Reducer<FleetEvent, FleetEffect> {
+        override fun reduce(event: FleetEvent, now: Duration): List<FleetEffect> {
+            val skipped = LogRecord.HostLeft(Incarnation("unknown"))
+            val isRelease = event is FleetEvent.RecordApplied && event.record is LogRecord.SlotsReleased
+            return rules.reduce(if (isRelease) event.copy(record = skipped) else event, now)
+        }
+    }
+
+    private companion object {
+        const val MAX_SEED = 1_000L
+        val LENGTH = 20.seconds
+        const val SHARE = 16_666L
+
+        fun changing(
+            host: SimulatedHost,
+            change: (FleetEffect) -> List<FleetEffect>,
+        ): Reducer<FleetEvent, FleetEffect> = object : Reducer<FleetEvent, FleetEffect> {
+            override fun reduce(event: FleetEvent, now: Duration): List<FleetEffect> =
+                host.rules.reduce(event, now).flatMap(change)
+        }
+    }
+}
