Add the limits benchmark and the checks of the token limits

Cause: the ceiling and the refusals within rate were not measured, and nothing showed that the checkers of the interleavings see a violation.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.subcommands
+import io.anvilvalve.bench.limits.LimitsCommand
 import io.anvilvalve.bench.policy.PolicyCommand
 
 /** Root of `anvilvalve-bench`. */
@@ -14,6 +15,7 @@
     companion object {
         /** One line per subcommand; each lives in a package of its own. */
         fun withSubcommands(): CliktCommand = BenchCommand().subcommands(
+            LimitsCommand(),
             PolicyCommand(),
         )
     }
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsCommand.kt
@@ -2,8 +2,8 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
-import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.choice
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsFleet.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsFleet.kt
@@ -28,7 +28,12 @@
     private val onAnswer: (RequestId, ResultCode?, Process) -> Unit,
 ) {
     /** One process of a host; [current] is what the load balancer's health check sees. */
-    class Process(val index: Int, val member: Member, val rules: Reducer<FleetEvent, FleetEffect>, val startedAt: Duration) {
+    class Process(
+        val index: Int,
+        val member: Member,
+        val rules: Reducer<FleetEvent, FleetEffect>,
+        val startedAt: Duration,
+    ) {
         var alive = true
         var current = false
         var applied = -1L
@@ -55,7 +60,8 @@
 
     fun start(index: Int) {
         val region = RegionId("r${index % REGIONS}")
-        val member = Member(HostId("h$index"), Incarnation("h$index#${starts++}"), "10.0.0.$index:1", dataCentre(index), region)
+        val member =
+            Member(HostId("h$index"), Incarnation("h$index#${starts++}"), "10.0.0.$index:1", dataCentre(index), region)
         val process = Process(index, member, newRules(member, random.nextLong()), now)
         processes[index] = process
         handle(process, FleetEvent.LimitsChanged(organisations))
@@ -94,15 +100,21 @@
     private fun perform(process: Process, effect: FleetEffect) {
         when (effect) {
             is FleetEffect.Append -> append(process, effect.record)
+
             is FleetEffect.Send -> send(process, effect)
+
             is FleetEffect.Admitted -> onAnswer(effect.id, null, process)
+
             is FleetEffect.Refused -> onAnswer(effect.id, effect.code, process)
+
             is FleetEffect.CurrentChanged -> process.current = effect.current
+
             is FleetEffect.SelfRemoved -> {
                 process.alive = false
                 process.current = false
                 after(RESTART) { start(process.index) }
             }
+
             else -> Unit
         }
     }
@@ -118,7 +130,13 @@
         val sentAt = now - process.startedAt
         after(LOG_LATENCY) {
             val end = log.size
-            if (reaches(process)) after(LOG_LATENCY) { catchUp(process, end, sentAt) } else handle(process, FleetEvent.LogFailed)
+            if (reaches(process)) {
+                after(LOG_LATENCY) {
+                    catchUp(process, end, sentAt)
+                }
+            } else {
+                handle(process, FleetEvent.LogFailed)
+            }
         }
     }
 
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsResult.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsResult.kt
@@ -8,7 +8,9 @@
  *
  * @property peakOverCeilingRatio most tokens used in any interval beyond rate x time, divided by the burst; over 1 breaks
  * the limit.
- * @property refusedWithinRateRatio refused requests beyond those that one central bucket refuses, per request offered.
+ * @property refusedWithinRateRatio refused requests beyond those that one central bucket refuses, per request offered, of
+ * the organisations that stay within their rate.
+ * @property overloadedUseRatio tokens per second that an organisation over its rate uses, divided by the rate.
  * @property peerBytesPerHostPerSecond bytes of peer frames that a host sends.
  * @property logAppendsPerSecond appends of all hosts.
  */
@@ -18,6 +20,7 @@
     val policy: String,
     @SerialName("peak_over_ceiling_ratio") val peakOverCeilingRatio: Double,
     @SerialName("refused_within_rate_ratio") val refusedWithinRateRatio: Double,
+    @SerialName("overloaded_use_ratio") val overloadedUseRatio: Double? = null,
     @SerialName("peer_bytes_per_host_s") val peerBytesPerHostPerSecond: Double,
     @SerialName("log_appends_s") val logAppendsPerSecond: Double,
     val offered: Int,
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsRun.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsRun.kt
@@ -54,19 +54,24 @@
     private fun disturb() {
         when (scenario) {
             LimitsScenario.CRASH -> fleet.after(10.seconds) { fleet.crash(1) }
+
             LimitsScenario.CHURN -> churn(0)
+
             LimitsScenario.LOG_DOWN -> {
                 fleet.logDown = true
                 fleet.after(10.minutes) { fleet.logDown = false }
             }
+
             LimitsScenario.PARTITION -> {
                 fleet.cutRegion = fleet.running.first { it.index == 1 }.member.region
                 fleet.after(2.minutes) { fleet.cutRegion = null }
             }
+
             LimitsScenario.RESTART -> repeat(workload.hosts) { index ->
                 fleet.crash(index)
                 fleet.after(5.seconds) { fleet.start(index) }
             }
+
             else -> Unit
         }
     }
@@ -107,9 +112,14 @@
 
     private fun result(bytes: Long, appends: Int): LimitsResult {
         val seconds = scenario.length.inWholeMilliseconds / MILLIS
-        val counted = requests.values.filter { it.at >= LimitsScenario.WARM_UP && (it.admittedAt != null || it.refused != null) }
+        val counted = requests.values.filter {
+            it.at >= LimitsScenario.WARM_UP &&
+                (it.admittedAt != null || it.refused != null)
+        }
         val central = organisations.associate { it.id to centralRefusals(it) }
-        val excess = organisations.sumOf { organisation ->
+        val overloaded = organisations.first().takeIf { scenario == LimitsScenario.FOUR_TIMES }
+        val within = organisations.filter { it != overloaded }
+        val excess = within.sumOf { organisation ->
             val refused = counted.count { it.organisation == organisation && it.refused != null }
             maxOf(0, refused - central.getValue(organisation.id))
         }
@@ -117,7 +127,11 @@
             scenario = scenario.label,
             policy = policy,
             peakOverCeilingRatio = organisations.maxOf(::peak),
-            refusedWithinRateRatio = excess.toDouble() / counted.size,
+            refusedWithinRateRatio = excess.toDouble() / counted.count { it.organisation != overloaded },
+            overloadedUseRatio = overloaded?.let { organisation ->
+                val used = counted.filter { it.organisation == organisation && it.admittedAt != null }.sumOf { it.used }
+                used / (organisation.rate * seconds)
+            },
             peerBytesPerHostPerSecond = bytes / seconds / workload.hosts,
             logAppendsPerSecond = appends / seconds,
             offered = counted.size,
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/NaiveLimits.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/NaiveLimits.kt
@@ -33,7 +33,9 @@
                 }
                 listOf(FleetEffect.CurrentChanged(true))
             }
+
             is FleetEvent.Admit -> listOf(admit(event))
+
             is FleetEvent.Settle -> {
                 charged.remove(event.id)?.let { request ->
                     buckets.getValue(request.organisation)
@@ -41,6 +43,7 @@
                 }
                 emptyList()
             }
+
             else -> emptyList()
         }
     }
--- a/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetRulesSpec.kt
+++ b/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetRulesSpec.kt
@@ -12,7 +12,7 @@
     FunSpec({
         test("hosts without faults join, own every slot once and admit") {
             val world = FleetWorld(seed = 1, hostCount = 5, faults = false)
-            world.run(20.seconds)
+            world.run(60.seconds)
             world.checker.violations.shouldBeEmpty()
             val snapshot = world.hosts.first().rules.snapshot()
             snapshot.members.size shouldBe 5
--- a/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetWorld.kt
+++ b/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetWorld.kt
@@ -82,12 +82,14 @@
     private var partition = emptySet<String>()
     private var order = 0L
     private var starts = 0
+    private var storm = false
     private var steps = 0L
     private var requests = 0
 
     init {
         repeat(hostCount) { start("h$it", "10.0.0.$it:1", it) }
         if (faults) after(between(3, 5)) { injectFault() }
+        changeDemand()
     }
 
     fun run(length: Duration) {
@@ -120,7 +122,7 @@
         handle(host, FleetEvent.LimitsChanged(organisations))
         every(host, 100) { handle(host, FleetEvent.Tick) }
         every(host, 300) { readLog(host) }
-        every(host, 300) { admit(host) }
+        every(host, 150) { if (storm) admit(host) }
     }
 
     private fun every(host: SimulatedHost, millis: Int, action: () -> Unit) {
@@ -131,6 +133,12 @@
         }
     }
 
+    /** Buckets fill while there is no demand, so that the next storm reaches the limit. */
+    private fun changeDemand() {
+        storm = !storm
+        after(if (storm) between(0, 2) else between(1, 5)) { changeDemand() }
+    }
+
     private fun readLog(host: SimulatedHost) {
         val sentAt = host.clock(now)
         after(latency()) {
