Ask for tokens ahead of steady demand and keep given-up slots closed

Cause: each admission beyond the own shares waited for a round trip, and waiting requests ran into their deadline when several came at once. Separately, a late copy of an assignment could bring a released slot back, and a late copy of the release could then free it while the host refilled it.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsResult.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsResult.kt
@@ -11,6 +11,7 @@
  * @property refusedWithinRateRatio refused requests beyond those that one central bucket refuses, per request offered, of
  * the organisations that stay within their rate.
  * @property overloadedUseRatio tokens per second that an organisation over its rate uses, divided by the rate.
+ * @property admittedAtOnceRatio requests that were admitted without waiting for another host, per request offered.
  * @property peerBytesPerHostPerSecond bytes of peer frames that a host sends.
  * @property logAppendsPerSecond appends of all hosts.
  */
@@ -23,6 +24,7 @@
     @SerialName("overloaded_use_ratio") val overloadedUseRatio: Double? = null,
     @SerialName("peer_bytes_per_host_s") val peerBytesPerHostPerSecond: Double,
     @SerialName("log_appends_s") val logAppendsPerSecond: Double,
+    @SerialName("admitted_at_once_ratio") val admittedAtOnceRatio: Double,
     val offered: Int,
     val admitted: Int,
     @SerialName("refused_by_central_bucket") val refusedByCentralBucket: Int,
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsRun.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsRun.kt
@@ -9,6 +9,7 @@
 import io.anvilvalve.rules.fleet.FleetEffect
 import io.anvilvalve.rules.fleet.FleetEvent
 import io.anvilvalve.rules.fleet.FleetRules
+import io.anvilvalve.rules.fleet.FleetTimes
 import kotlin.math.ln
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -48,6 +49,7 @@
 
     private fun newRules(member: Member, seed: Long): Reducer<FleetEvent, FleetEffect> = when (policy) {
         "naive" -> NaiveLimits(workload.hosts)
+        "v1" -> FleetRules(member, seed, times = FleetTimes(prefetchSpan = Duration.ZERO))
         else -> FleetRules(member, seed)
     }
 
@@ -135,6 +137,7 @@
             peerBytesPerHostPerSecond = bytes / seconds / workload.hosts,
             logAppendsPerSecond = appends / seconds,
             offered = counted.size,
+            admittedAtOnceRatio = counted.count { it.admittedAt == it.at } / counted.size.toDouble(),
             admitted = counted.count { it.admittedAt != null },
             refusedByCentralBucket = central.values.sum(),
             refusals = counted.mapNotNull { it.refused?.code }.groupingBy { it }.eachCount().toSortedMap(),
@@ -162,7 +165,7 @@
     private fun exponential(): Double = -ln(1 - arrivals.nextDouble())
 
     companion object {
-        val POLICIES = listOf("naive", "current")
+        val POLICIES = listOf("naive", "v1", "current")
         private const val OVERLOAD = 4.0
         private const val LONGEST = 8.0
         private const val MILLIS = 1_000.0
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/Admissions.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/Admissions.kt
@@ -36,6 +36,7 @@
                 refuse(request, ResultCode.PROMPT_TOO_LONG)
 
             else -> {
+                balance(request.organisation).demand.ask(request.tokens)
                 waiting.getOrPut(request.organisation) { ArrayDeque() }.addLast(request)
                 serve(request.organisation, clock, now)
             }
@@ -71,6 +72,7 @@
             refuseLate(organisation, now)
         }
         waiting.values.removeIf { it.isEmpty() }
+        tokens.forEach { (organisation, balance) -> prefetch(organisation, balance, clock, now) }
     }
 
     fun refuseAll(code: ResultCode) {
@@ -86,7 +88,7 @@
             queue.clear()
             return
         }
-        val balance = tokens.getOrPut(organisation) { OrganisationTokens(times) }
+        val balance = balance(organisation)
         balance.expire(now).forEach { giveBack(it, it.remaining) }
         val own = shares.of(layout, clock, now)
         while (queue.isNotEmpty() && queue.first().tokens <= balance.available() + own.sumOf { it.second.tokens }) {
@@ -95,6 +97,19 @@
         if (queue.isNotEmpty()) ask(layout, queue.sumOf { it.tokens }, balance, own, now)
     }
 
+    private fun balance(organisation: OrganisationId) = tokens.getOrPut(organisation) { OrganisationTokens(times) }
+
+    /** Asks for the tokens of the coming requests when less than half of them is at hand. */
+    private fun prefetch(organisation: OrganisationId, balance: OrganisationTokens, clock: Duration, now: Duration) {
+        balance.demand.advance(now)
+        val target = balance.prefetchTarget(now)
+        val layout = shares.layout(organisation)
+        if (target == 0L || layout == null) return
+        val own = shares.of(layout, clock, now)
+        val known = balance.available() + balance.expected(now) + own.sumOf { it.second.tokens }
+        if (known < target / 2) ask(layout, target, balance, own, now)
+    }
+
     private fun charge(request: FleetEvent.Admit, balance: OrganisationTokens, own: List<Pair<ShareKey, OwnedShare>>) {
         val charges = balance.take(request.tokens).toMutableList()
         var missing = request.tokens - charges.sumOf { it.amount }
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/Demand.kt
@@ -0,0 +1,31 @@
+package io.anvilvalve.rules.fleet
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Tokens per second that an organisation asks for at this host, as an exponentially weighted average. */
+internal class Demand {
+    private var asked = 0L
+    private var windowEnd = WINDOW
+
+    var tokensPerSecond: Long = 0
+        private set
+
+    fun ask(tokens: Long) {
+        asked += tokens
+    }
+
+    /** Closes the current window when it has ended. */
+    fun advance(now: Duration) {
+        if (now < windowEnd) return
+        tokensPerSecond = (tokensPerSecond * (WEIGHT - 1) + asked * WINDOWS_PER_SECOND) / WEIGHT
+        asked = 0
+        windowEnd = now + WINDOW
+    }
+
+    private companion object {
+        val WINDOW = 500.milliseconds
+        const val WINDOWS_PER_SECOND = 2
+        const val WEIGHT = 4
+    }
+}
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetTimes.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetTimes.kt
@@ -20,6 +20,7 @@
  * @property refundKeep how long the owner of a share accepts returns of a grant.
  * @property askTimeout how long tokens that were asked for are counted on.
  * @property emptyShareRetry how long an owner that had no tokens is not asked again.
+ * @property prefetchSpan how far ahead tokens are asked for when an organisation has steady demand; zero for never.
  * @property tick period of `Tick`; requests are refused this much before their deadline.
  */
 data class FleetTimes(
@@ -38,6 +39,7 @@
     val refundKeep: Duration = 2.minutes,
     val askTimeout: Duration = 250.milliseconds,
     val emptyShareRetry: Duration = 100.milliseconds,
+    val prefetchSpan: Duration = 500.milliseconds,
     val tick: Duration = 50.milliseconds,
 ) {
     /** Time by which no host can still act on evidence or tokens of [lifetime], with clocks 1% apart. */
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/OrganisationTokens.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/OrganisationTokens.kt
@@ -14,12 +14,18 @@
     private val asked = LinkedHashMap<TransferId, Asked>()
     private val emptyUntil = HashMap<ShareKey, Duration>()
 
-    val isIdle: Boolean get() = lots.isEmpty() && asked.isEmpty()
+    private var scarceUntil = Duration.ZERO
+
+    val demand = Demand()
 
     /** Whether every owner that was asked lately had nothing to give. */
     var ownersEmpty: Boolean = false
         private set
 
+    /** Tokens to have at hand; none while an owner could not give all, so that hosts do not hoard what is scarce. */
+    fun prefetchTarget(now: Duration): Long =
+        if (now < scarceUntil) 0 else demand.tokensPerSecond * times.prefetchSpan.inWholeMilliseconds / MILLIS
+
     fun available(): Long = lots.sumOf { it.remaining }
 
     fun expected(now: Duration): Long = asked.values.filter { now - it.at < times.askTimeout }.sumOf { it.amount }
@@ -35,7 +41,10 @@
     fun granted(grant: PeerMessage.TokenGrant, now: Duration): TokenLot? {
         val request = asked.remove(grant.id) ?: return null
         ownersEmpty = grant.amount == 0L
-        if (grant.amount < request.amount) emptyUntil[request.key] = now + times.emptyShareRetry
+        if (grant.amount < request.amount) {
+            emptyUntil[request.key] = now + times.emptyShareRetry
+            scarceUntil = now + times.grantLife
+        }
         if (grant.amount <= 0) return null
         val lot = TokenLot(grant.id, request.key, request.owner, request.at + times.grantLife, grant.amount)
         if (now > lot.expires) return lot
@@ -78,4 +87,8 @@
         lots.addAll(valid)
         return expired
     }
+
+    private companion object {
+        const val MILLIS = 1_000L
+    }
 }
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
@@ -28,6 +28,8 @@
         val done = releasing.filter { slots.owner(it) != self.incarnation }
         releasing.removeAll(done.toSet())
         done.forEach { givenUp[it] = now }
+        // A late copy of an assignment may bring a released slot back, and a late copy of the release may follow it.
+        releasing += slots.ownedBy(self.incarnation).filter { wasGivenUp(it, now) }
         freeSince.keys.removeIf { !isFree(it) }
         refilled = slots.ownedBy(self.incarnation).filter { it !in releasing }.toSet()
     }
@@ -83,9 +85,12 @@
             val abandoned = now - freeSince.getValue(slot) > times.slotPatience
             if (planned.incarnation == self.incarnation || abandoned) mine += slot
         }
-        return mine.filter { now - (givenUp[it] ?: -times.retakeAfter) >= times.retakeAfter }
+        return mine.filterNot { wasGivenUp(it, now) }
     }
 
+    private fun wasGivenUp(slot: Int, now: Duration): Boolean =
+        givenUp[slot]?.let { now - it < times.retakeAfter } == true
+
     /** Slots to give up for members that have less than an equal number. */
     private fun excess(): List<Int> {
         val loads = loads()
--- /dev/null
+++ b/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/SlotAssignerSpec.kt
@@ -0,0 +1,95 @@
+package io.anvilvalve.rules.fleet
+
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.LogOffset
+import io.anvilvalve.api.id.RegionId
+import io.anvilvalve.api.log.LogRecord
+import io.anvilvalve.api.log.Member
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against two hosts that refill one slot because of late copies of slot records. */
+class SlotAssignerSpec :
+    FunSpec({
+        val times = FleetTimes()
+        val self = Member(HostId("a"), Incarnation("a#1"), "a", DataCentreId("d"), RegionId("r"))
+        val other = self.copy(host = HostId("b"), incarnation = Incarnation("b#1"), address = "b")
+
+        class Fixture(members: List<Member>) {
+            val view = Membership(self.incarnation, times)
+            val table = SlotTable(count = 2)
+            val assigner = SlotAssigner(self, table, view, times, Random(1))
+
+            init {
+                members.forEachIndexed { offset, member ->
+                    view.apply(LogOffset(offset.toLong()), LogRecord.HostJoined(member), Duration.ZERO)
+                }
+            }
+
+            fun assign(owner: Member, previous: List<Incarnation?>, now: Duration) {
+                val slots = previous.indices.toList()
+                table.assign(LogRecord.SlotsAssigned(slots, owner.incarnation, previous), view)
+                assigner.tableChanged(now)
+            }
+
+            /** Gives up all slots and returns the record, as the log shows it. */
+            fun release(now: Duration) {
+                val record = assigner.releaseAll(now, append = true) as LogRecord.SlotsReleased
+                assigner.tableChanged(now)
+                assigner.refilled shouldBe emptySet()
+                table.release(record)
+                assigner.tableChanged(now)
+            }
+
+            fun nextRecord(from: Duration): LogRecord? = assigner.next(from) ?: assigner.next(from + times.appendRetry)
+        }
+
+        test("a slot is not refilled from the moment its release is written") {
+            Fixture(listOf(self)).run {
+                assign(self, listOf(null, null), now = 1.seconds)
+                assigner.refilled shouldBe setOf(0, 1)
+                release(2.seconds)
+            }
+        }
+
+        test("a released slot is taken again only when no copy of the release can come any more") {
+            Fixture(listOf(self)).run {
+                assign(self, listOf(null, null), now = 1.seconds)
+                release(2.seconds)
+                nextRecord(20.seconds) shouldBe null
+                val taken = nextRecord(3.seconds + times.retakeAfter)
+                taken shouldBe LogRecord.SlotsAssigned(listOf(0, 1), self.incarnation, listOf(null, null))
+            }
+        }
+
+        test("a late copy of an assignment does not make the host refill a slot that it gave up") {
+            Fixture(listOf(self)).run {
+                assign(self, listOf(null, null), now = 1.seconds)
+                release(2.seconds)
+                assign(self, listOf(null, null), now = 3.seconds)
+                assigner.refilled shouldBe emptySet()
+                nextRecord(4.seconds) shouldBe LogRecord.SlotsReleased(listOf(0, 1), self.incarnation)
+            }
+        }
+
+        test("a member keeps its slots against an assignment that names it as the previous owner") {
+            Fixture(listOf(self, other)).run {
+                assign(other, listOf(null), now = 1.seconds)
+                assign(self, listOf(other.incarnation), now = 2.seconds)
+                table.owner(0) shouldBe other.incarnation
+            }
+        }
+
+        test("an assignment by a writer that saw another owner is ignored") {
+            Fixture(listOf(self, other)).run {
+                assign(other, listOf(null), now = 1.seconds)
+                assign(self, listOf(null), now = 2.seconds)
+                table.owner(0) shouldBe other.incarnation
+            }
+        }
+    })
