Do less work for changes that do not concern engines

Cause: a sampled profile of configuration changes at target size showed that the order issuer compared the targets of 12,000 servers for every note, also for notes that only change an organisation. Change: targets are computed again only when servers, models or adapters change; reachability is refreshed four times a second and compared by identity; probes of a large fleet are wide only every 12 s while the log is readable; single measurements of the slopes benchmark can be chosen.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slopes.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slopes.kt
@@ -6,28 +6,28 @@
 
 /** Measures the cost of control at several sizes of each dimension, the others kept small. */
 internal class Slopes {
-    fun all(): Sequence<Slope> = sequence {
-        yield(heap("heap_per_organisation", "organisation", ORGANISATIONS) { FleetSize(organisations = it) })
-        yield(heap("heap_per_backend_server", "backend server", SERVERS) { FleetSize(servers = it, models = MODELS) })
-        yield(heap("heap_per_host", "host", HOSTS) { FleetSize(hosts = it) })
-        yield(heapPerRunningRequest())
-        yield(idle("idle_cpu_per_organisation", "organisation", ORGANISATIONS) { FleetSize(organisations = it) })
-        yield(
-            idle("idle_cpu_per_backend_server", "backend server", SERVERS) {
-                FleetSize(servers = it, models = MODELS)
-            },
-        )
-        yield(idle("idle_cpu_per_host", "host", HOSTS) { FleetSize(hosts = it) })
-        yield(peerBytesPerHost())
-        yield(cpuPerChange())
-        yield(logBytesPerChange())
-        yield(cpuPerRequest())
-    }
+    /** The measurements by name; each runs when it is called. */
+    val all: Map<String, () -> Slope> = linkedMapOf(
+        "heap_per_organisation" to { heap("heap_per_organisation", ORGANISATIONS) { FleetSize(organisations = it) } },
+        "heap_per_backend_server" to { heap("heap_per_backend_server", SERVERS) { servers(it) } },
+        "heap_per_host" to { heap("heap_per_host", HOSTS) { FleetSize(hosts = it) } },
+        "heap_per_running_request" to ::heapPerRunningRequest,
+        "idle_cpu_per_organisation" to
+            { idle("idle_cpu_per_organisation", ORGANISATIONS) { FleetSize(organisations = it) } },
+        "idle_cpu_per_backend_server" to { idle("idle_cpu_per_backend_server", SERVERS) { servers(it) } },
+        "idle_cpu_per_host" to { idle("idle_cpu_per_host", HOSTS) { FleetSize(hosts = it) } },
+        "peer_bytes_per_host" to ::peerBytesPerHost,
+        "cpu_per_change" to ::cpuPerChange,
+        "log_bytes_per_change" to ::logBytesPerChange,
+        "cpu_per_request" to ::cpuPerRequest,
+    )
+
+    private fun servers(count: Int) = FleetSize(servers = count, models = MODELS)
 
-    private fun heap(name: String, per: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope = Slope(
+    private fun heap(name: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope = Slope(
         name,
         "bytes",
-        per,
+        name.substringAfter("_per_"),
         sizes.map { n ->
             val (rig, bytes) = Cost.heapBytes { ReducerRig(fleet(n)).start() }
             n.toDouble() to bytes.toDouble() - rig.logBytes
@@ -47,10 +47,10 @@
         },
     )
 
-    private fun idle(name: String, per: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope = Slope(
+    private fun idle(name: String, sizes: List<Int>, fleet: (Int) -> FleetSize): Slope = Slope(
         name,
         "us/s",
-        per,
+        name.substringAfter("_per_"),
         sizes.map { n ->
             val rig = ReducerRig(fleet(n)).start()
             repeat(WARM_UP_TICKS) { rig.tick() }
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/SlopesCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/SlopesCommand.kt
@@ -2,6 +2,8 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import kotlinx.serialization.json.add
@@ -12,12 +14,16 @@
 
 /** Measures the costs of control that `docs/CAPACITY.md` is worked out from. */
 internal class SlopesCommand : CliktCommand(name = "slopes") {
+    private val only by argument(help = "Names of measurements; all when none is given.").multiple()
     private val json by option("--json", help = "One JSON object per line.").flag()
 
     override fun help(context: Context): String =
         "Measures the cost of control per organisation, host, server and request."
 
-    override fun run() = Slopes().all().forEach { echo(if (json) toJson(it) else toText(it)) }
+    override fun run() = Slopes().all.filterKeys { only.isEmpty() || it in only }.values.forEach { measure ->
+        val slope = measure()
+        echo(if (json) toJson(slope) else toText(slope))
+    }
 
     private fun toText(s: Slope): String {
         val points = s.points.joinToString { (x, y) -> "%.0f: %.1f".format(x, y) }
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PoolOwners.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PoolOwners.kt
@@ -18,6 +18,7 @@
     private val heardAt = HashMap<HostId, Duration>()
     private var members: List<Member> = listOf(self)
     private var reachable: List<Member> = listOf(self)
+    private var refreshedAt = -REFRESH_INTERVAL
     private val owners = HashMap<Pair<ModelId, DataCentreId?>, HostId?>()
 
     /** Data centres that requests of this host go to, nearest first; one null for the whole fleet. */
@@ -29,6 +30,7 @@
         val hosts = next.map { it.host }.toSet()
         heardAt.keys.retainAll(hosts)
         hosts.forEach { heardAt.putIfAbsent(it, now) }
+        refreshedAt = -REFRESH_INTERVAL
     }
 
     fun heard(host: HostId, now: Duration) {
@@ -39,8 +41,10 @@
 
     /** Takes the silence of members into account; returns whether owners may have changed. */
     fun refresh(now: Duration): Boolean {
+        if (now - refreshedAt < REFRESH_INTERVAL) return false
+        refreshedAt = now
         val next = members.filter { it.host == self.host || now - (heardAt[it.host] ?: Duration.ZERO) <= limit(it) }
-        if (next == reachable) return false
+        if (next.size == reachable.size && next.indices.all { next[it] === reachable[it] }) return false
         reachable = next
         groups = groupsOf(next)
         owners.clear()
@@ -68,6 +72,8 @@
         /** Peers are probed once a second; two missed replies make an owner unreachable. */
         val SILENCE_LIMIT = 2_500.milliseconds
 
+        val REFRESH_INTERVAL = 250.milliseconds
+
         /** Large fleets probe other data centres more rarely. */
         val FAR_SILENCE_LIMIT = 30.seconds
     }
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetTimes.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetTimes.kt
@@ -14,6 +14,9 @@
  * @property removalMargin added to [freshness] before a confirmed removal takes effect.
  * @property suspectAfter silence after which a member is removed by a host that hears a majority.
  * @property suspectAloneAfter the same for a host that hears no majority.
+ * @property wideProbeInterval how often a large fleet is probed whole while evidence from a majority may be needed.
+ * @property calmProbeInterval the same while the log can be read and all membership records are confirmed.
+ * @property farSuspectAfter [suspectAfter] for members of other data centres of a large fleet.
  * @property slotPatience how long the planned owner of a free slot is waited for.
  * @property retakeAfter how long a host leaves a slot alone that it released, so that a late second copy of the release
  * record cannot take the slot away from it while it refills.
@@ -30,6 +33,8 @@
     val removalMargin: Duration = 500.milliseconds,
     val probeInterval: Duration = 1.seconds,
     val wideProbeInterval: Duration = 4.seconds,
+    val calmProbeInterval: Duration = 12.seconds,
+    val farSuspectAfter: Duration = 30.seconds,
     val suspectAfter: Duration = 10.seconds,
     val suspectAloneAfter: Duration = 60.seconds,
     val appendRetry: Duration = 2.seconds,
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/Probes.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/Probes.kt
@@ -19,7 +19,10 @@
     private var known = emptyList<Member>()
     private var lastTick: Duration? = null
     private var nextRound = Duration.ZERO
-    private var nextWideRound = Duration.ZERO
+    private var lastWideRound = -times.calmProbeInterval
+
+    private val isSmall: Boolean get() = view.members.size <= SMALL_FLEET
+
     private var rounds = 0L
     private var nextRemoval = Duration.ZERO
 
@@ -31,8 +34,10 @@
         if (paused) silentSince.keys.forEach { silentSince[it] = now }
         if (now < nextRound) return
         nextRound = now + times.probeInterval
-        val wide = view.members.size <= SMALL_FLEET || now >= nextWideRound
-        if (wide) nextWideRound = now + times.wideProbeInterval
+        val calm = evidence.logReadable && !view.unconfirmed
+        val interval = if (calm) times.calmProbeInterval else times.wideProbeInterval
+        val wide = isSmall || now >= lastWideRound + interval
+        if (wide) lastWideRound = now
         val targets = view.members.filter { it != self && (wide || it.dataCentre == self.dataCentre) }
         val id = rounds++
         evidence.probeSent(id, now)
@@ -45,7 +50,7 @@
         val limit = if (evidence.hearsMajority(now)) times.suspectAfter else times.suspectAloneAfter
         // The turn is computed only for silent members; for all of 350 it took most of the processor time.
         val suspect = silentSince.keys
-            .filter { it != self.incarnation && silence(it, now) > limit && silence(it, now) > limit + TURN * turn(it) }
+            .filter { it != self.incarnation && isSilent(it, limit, now) }
             .maxByOrNull { silence(it, now) } ?: return null
         nextRemoval = now + times.appendRetry
         return LogRecord.HostRemoved(suspect, self.incarnation)
@@ -59,6 +64,13 @@
         incarnations.forEach { silentSince.putIfAbsent(it, checkNotNull(lastTick)) }
     }
 
+    private fun isSilent(incarnation: Incarnation, limit: Duration, now: Duration): Boolean {
+        val near = isSmall || view.member(incarnation)?.dataCentre == self.dataCentre
+        val allowed = if (near) limit else maxOf(limit, times.farSuspectAfter)
+        val silence = silence(incarnation, now)
+        return silence > allowed && silence > allowed + TURN * turn(incarnation)
+    }
+
     private fun silence(incarnation: Incarnation, now: Duration): Duration {
         val since = silentSince.getValue(incarnation)
         return now - maxOf(since, evidence.lastHeard(incarnation) ?: since)
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/OrderIssuer.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/OrderIssuer.kt
@@ -37,7 +37,10 @@
     fun takeEffects(): List<ReleaseEffect> = out.also { out = mutableListOf() }
 
     fun releaseChanged(next: Release, now: Duration) {
+        val last = release
         release = next
+        // Targets depend on these maps only, which releases share while they do not change.
+        if (next.servers === last.servers && next.models === last.models && next.adapters === last.adapters) return
         val wanted = next.servers.values.filter { it.role != Role.SERVICE && !it.leaving }
         engines.keys.retainAll(wanted.map { it.id }.toSet())
         wanted.forEach { server ->
