--- a/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/LogReader.kt
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/LogReader.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.cli
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import io.anvilvalve.api.BinaryCodec
@@ -24,17 +25,26 @@
     /** Returns the state at the tail; the left side tells why the log cannot be read. */
     suspend fun read(): Either<String, LogView> {
         val records = sortedMapOf<Long, LogRecord>()
-        var next = LogOffset(0)
+        return readTo(LogOffset(0)) { offset, record -> records[offset.value] = record }
+            .flatMap { firstRetained -> rebuild(firstRetained, records) }
+    }
+
+    /** Returns the state at the tail, with the records after those of [view]; reads all again after a truncation. */
+    suspend fun readOn(view: LogView): Either<String, LogView> {
+        val next = view.applied.next()
+        val firstRetained = readTo(next) { offset, record -> view.apply(offset, record) }
+        return firstRetained.flatMap { if (it > next) read() else view.right() }
+    }
+
+    /** Reads from [start] to the tail and returns the oldest offset that the log still has. */
+    private suspend fun readTo(start: LogOffset, use: (LogOffset, LogRecord) -> Unit): Either<String, LogOffset> {
+        var next = start
         while (true) {
             val page = readPage(next).fold({ return it.left() }, { it })
-            page.records.forEach { stored ->
-                LogCodec.decode(stored.data).onRight { records[stored.offset.value] = it }
-            }
+            page.records.forEach { stored -> LogCodec.decode(stored.data).onRight { use(stored.offset, it) } }
             next = page.records.lastOrNull()?.offset?.next() ?: maxOf(next, page.firstRetained)
-            if (next >= page.end) return rebuild(page.firstRetained, records)
-            if (page.records.isEmpty() && next < page.end && next == page.firstRetained) {
-                return "the log answers no records before its end".left()
-            }
+            if (next >= page.end) return page.firstRetained.right()
+            if (page.records.isEmpty()) return "the log answers no records before its end".left()
         }
     }
 
--- a/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/Publisher.kt
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/Publisher.kt
@@ -28,17 +28,18 @@
         view.decisionOn(note.id)?.let { return decided(note, it, view) }
         val faults = NoteValidator.validate(note, view.release, view.snapshot.withdrawnKeys)
         if (faults.isNotEmpty()) return rejected(note, faults, view)
-        return withTimeoutOrNull(timeout) { appendUntilDecided(note) } ?: Outcome.logUnavailable(
+        return withTimeoutOrNull(timeout) { appendUntilDecided(note, view) } ?: Outcome.logUnavailable(
             "note ${note.id} may take effect later; publish the same file again to learn the outcome",
         )
     }
 
-    private suspend fun appendUntilDecided(note: ReleaseNote): Outcome {
+    private suspend fun appendUntilDecided(note: ReleaseNote, before: LogView): Outcome {
+        var view = before
         var wait = FIRST_WAIT
         while (true) {
             log.append(listOf(LogCodec.encode(LogRecord.Note(note))))
-            val view = reader.read().getOrNull()
-            view?.decisionOn(note.id)?.let { return decided(note, it, view) }
+            reader.readOn(view).onRight { view = it }
+            view.decisionOn(note.id)?.let { return decided(note, it, view) }
             delay(wait)
             wait = (wait * 2).coerceAtMost(LAST_WAIT)
         }
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseEffect.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseEffect.kt
@@ -31,8 +31,8 @@
     /** An operator stated that an incarnation has ended. */
     data class DeclaredGone(val incarnation: Incarnation) : ReleaseEffect
 
-    /** A key no longer works: cancel its running requests and tell the peers. */
-    data class KeyRevoked(val hash: KeyHash) : ReleaseEffect
+    /** A key no longer works: cancel its running requests, and tell the peers unless the withdrawal is [inLog]. */
+    data class KeyRevoked(val hash: KeyHash, val inLog: Boolean = false) : ReleaseEffect
 
     /** The call of request [id] may be sent, once. */
     data class ClaimWon(val id: RequestId) : ReleaseEffect
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
@@ -103,7 +103,7 @@
             is LogRecord.KeyWithdrawn -> {
                 outbox.confirm(record)
                 state.withdraw(record.hash)
-                revoke(record.hash)
+                revoke(record.hash, inLog = true)
             }
 
             is LogRecord.Claims -> claims.claimed(record.claims, now)
@@ -135,7 +135,7 @@
         out += state.apply(record.note)
         if (release.number == before) return
         releaseChanged()
-        record.note.changes.filterIsInstance<Change.WithdrawKey>().forEach { revoke(it.hash) }
+        record.note.changes.filterIsInstance<Change.WithdrawKey>().forEach { revoke(it.hash, inLog = true) }
     }
 
     private fun releaseChanged() {
@@ -146,11 +146,12 @@
     private fun restored(event: ReleaseEvent.Restored) {
         if (event.covered <= applied) return
         applied = event.covered
+        val usable = release.keys.keys
         state.restore(event.state)
         table.restore(event.state, now)
         leases.restore(event.state.orderLease)
         releaseChanged()
-        event.state.withdrawnKeys.forEach { revoke(it) }
+        event.state.withdrawnKeys.forEach { if (it in usable) revoke(it, inLog = true) else withdrawn.add(it) }
         event.state.heardWithdrawals.forEach { withdrawalHeard(it) }
         claims.reconsider(now)
     }
@@ -163,12 +164,12 @@
 
     private fun withdrawalHeard(hash: KeyHash) {
         if (hash in withdrawn) return
-        revoke(hash)
+        revoke(hash, inLog = false)
         outbox.add(LogRecord.KeyWithdrawn(hash), now + times.withdrawalSpread * random.nextDouble())
     }
 
-    private fun revoke(hash: KeyHash) {
-        if (withdrawn.add(hash)) out += ReleaseEffect.KeyRevoked(hash)
+    private fun revoke(hash: KeyHash, inLog: Boolean) {
+        if (withdrawn.add(hash)) out += ReleaseEffect.KeyRevoked(hash, inLog)
     }
 
     private fun tailReached() {
--- a/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/ReleaseRulesSpec.kt
+++ b/anvilvalve-rules-release/src/test/kotlin/io/anvilvalve/rules/release/ReleaseRulesSpec.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.rules.release
 
+import io.anvilvalve.api.id.ClaimId
 import io.anvilvalve.api.id.DataCentreId
 import io.anvilvalve.api.id.Incarnation
 import io.anvilvalve.api.id.KeyHash
@@ -15,6 +16,7 @@
 import io.anvilvalve.api.release.Key
 import io.anvilvalve.api.release.Organisation
 import io.anvilvalve.api.release.ReleaseNote
+import io.anvilvalve.api.result.ResultCode
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
@@ -52,13 +54,22 @@
         test("a withdrawn key stays withdrawn when a later note puts it again") {
             val rules = rules()
             rules.apply(0, LogRecord.Note(put))
-            rules.apply(1, LogRecord.KeyWithdrawn(hash)) shouldBe listOf(ReleaseEffect.KeyRevoked(hash))
+            rules.apply(1, LogRecord.KeyWithdrawn(hash)) shouldBe listOf(ReleaseEffect.KeyRevoked(hash, inLog = true))
             val again = Change.PutKey(Key(hash, organisation))
             rules.apply(2, LogRecord.Note(ReleaseNote(NoteId("n2"), ReleaseNumber(1), "operator", listOf(again))))
             rules.release.number shouldBe ReleaseNumber(2)
             rules.organisationOf(hash) shouldBe null
         }
 
+        test("a restored snapshot revokes the keys that worked here, and no others") {
+            val rules = rules()
+            rules.apply(0, LogRecord.Note(put))
+            val state = ReleaseSnapshot(withdrawnKeys = setOf(hash, KeyHash.of("old")))
+            val effects = rules.reduce(ReleaseEvent.Restored(LogOffset(9), state), Duration.ZERO)
+            effects.filterIsInstance<ReleaseEffect.KeyRevoked>().map { it.hash } shouldBe listOf(hash)
+            rules.organisationOf(hash) shouldBe null
+        }
+
         test("a claim runs after it was read back, and a repeat gets the kept reply") {
             val rules = rules()
             val request = ClaimRequest(organisation, RouteId("pickup"), "key-1", "digest")
@@ -73,4 +84,20 @@
             rules.reduce(ReleaseEvent.ClaimRequested(RequestId("r2"), request), 3.seconds) shouldBe
                 listOf(ReleaseEffect.ClaimReplayed(RequestId("r2"), reply))
         }
+
+        test("a late claim that wins after its request was answered is abandoned, so the call is not blocked") {
+            val rules = rules()
+            val request = ClaimRequest(organisation, RouteId("pickup"), "key-1", "digest")
+            rules.reduce(ReleaseEvent.Tick(wallMillis = 1), Duration.ZERO)
+            val own = rules.reduce(ReleaseEvent.ClaimRequested(RequestId("r1"), request), 1.seconds)
+                .filterIsInstance<ReleaseEffect.Append>().single().records.single() as LogRecord.Claims
+            val other = own.claims.single().copy(id = ClaimId("b#1/0"), owner = Incarnation("b#1"))
+            rules.apply(0, LogRecord.Claims(listOf(other)))
+            rules.apply(1, own)
+            rules.reduce(ReleaseEvent.Tick(wallMillis = 1), 9.seconds) shouldBe
+                listOf(ReleaseEffect.ClaimRefused(RequestId("r1"), ResultCode.CALL_IN_PROGRESS))
+            rules.apply(2, LogRecord.ClaimAbandoned(other.id))
+            rules.reduce(ReleaseEvent.RecordApplied(LogOffset(3), own), 10.seconds) shouldBe
+                listOf(ReleaseEffect.Append(listOf(LogRecord.ClaimAbandoned(own.claims.single().id))))
+        }
     })
