--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -3,7 +3,9 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.subcommands
+import io.anvilvalve.bench.limits.LimitsCommand
 import io.anvilvalve.bench.policy.PolicyCommand
+import io.anvilvalve.bench.slopes.SlopesCommand
 
 /** Root of `anvilvalve-bench`. */
 internal class BenchCommand : CliktCommand(name = "anvilvalve-bench") {
@@ -14,7 +16,9 @@
     companion object {
         /** One line per subcommand; each lives in a package of its own. */
         fun withSubcommands(): CliktCommand = BenchCommand().subcommands(
+            LimitsCommand(),
             PolicyCommand(),
+            SlopesCommand(),
         )
     }
 }
