--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -90,8 +90,9 @@
 
     /** Repeats the answer when the origin may not have received it. */
     private fun repeated(work: Work, attempt: Int) {
-        val placed = work.placed ?: return
-        if (attempt == work.attempt && !work.started && !work.ended) reply(work, placed)
+        if (attempt != work.attempt || work.started) return
+        work.refused?.let { effects.add(Reply(work.item.origin, work.item.id, attempt, it)) }
+        if (!work.ended) work.placed?.let { reply(work, it) }
     }
 
     /** A later attempt ends the [earlier] one, and uses its prefill result while that lives. */
@@ -190,7 +191,7 @@
     }
 
     private fun tryPlace(work: Work, pool: Pool, open: OpenServers, now: Long): Boolean {
-        val holder = work.prefill?.takeIf { work.resultUntil > now }
+        val holder = work.prefill?.takeIf { work.resultUntil > now && it.breaker.healthy }
         val placement = if (holder != null) {
             placer.placeDecode(work, pool, open, holder, now)
         } else {
@@ -215,7 +216,9 @@
         work.state = Work.State.ENDED
         works.put(work)
         works.ended(work, now)
-        effects.add(Reply(work.item.origin, work.item.id, work.attempt, Refused(code)))
+        val refused = Refused(code)
+        work.refused = refused
+        effects.add(Reply(work.item.origin, work.item.id, work.attempt, refused))
     }
 
     private fun reply(work: Work, placed: Placed) {
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/SchedulingEvent.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/SchedulingEvent.kt
@@ -15,7 +15,13 @@
 
 /** Input of the scheduler of the pools that a host owns. */
 sealed interface SchedulingEvent {
-    /** A host asks for a placement; a repeated submit of the same attempt is ignored. */
+    /**
+     * A host asks for a placement.
+     *
+     * A repeated submit of the same attempt gets the same answer again until the attempt has started, and never holds
+     * anything twice. A later attempt ends the earlier one, and is placed at the holder of its prefill result while
+     * that lives.
+     */
     data class Submitted(val item: WorkItem, val attempt: Int) : SchedulingEvent
 
     /** The origin reports a step of a placed request. */
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Work.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Work.kt
@@ -11,6 +11,7 @@
 
     var state = State.QUEUED
     var placed: PlacementOutcome.Placed? = null
+    var refused: PlacementOutcome.Refused? = null
     var prefill: ServerState? = null
     var decode: ServerState? = null
     var transfer: LinkSchedule.Transfer? = null
--- a/anvilvalve-rules-scheduling/src/test/kotlin/io/anvilvalve/rules/scheduling/PoolSchedulerSpec.kt
+++ b/anvilvalve-rules-scheduling/src/test/kotlin/io/anvilvalve/rules/scheduling/PoolSchedulerSpec.kt
@@ -35,6 +35,8 @@
             driver.submit(item("1"))
             driver.submit(item("2")) shouldBe null
             driver.tick(1_490.milliseconds)["2"] shouldBe Refused(ResultCode.DEADLINE_UNREACHABLE)
+            // The first answer may have been lost.
+            driver.submit(item("2")) shouldBe Refused(ResultCode.DEADLINE_UNREACHABLE)
         }
 
         test("a repeated or late end frees the slot once") {
