--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -90,8 +90,9 @@
 
     /** Repeats the answer when the origin may not have received it. */
     private fun repeated(work: Work, attempt: Int) {
-        val placed = work.placed ?: return
-        if (attempt == work.attempt && !work.started && !work.ended) reply(work, placed)
+        if (attempt != work.attempt || work.started) return
+        work.refused?.let { effects.add(Reply(work.item.origin, work.item.id, attempt, it)) }
+        if (!work.ended) work.placed?.let { reply(work, it) }
     }
 
     /** A later attempt ends the [earlier] one, and uses its prefill result while that lives. */
@@ -115,7 +116,8 @@
         }
         if (work.ended) works.ended(work, now)
         if (event.phase == Phase.DECODE_FINISHED) pools[work.item.model]?.queue?.settle(work, event.tokens)
-        pumpAll(now)
+        // The other phases free neither a slot nor prefill time.
+        if (work.ended || event.phase == Phase.PREFILL_FINISHED) pumpAll(now)
     }
 
     private fun announced(event: SchedulingEvent.RunningAnnounced, now: Long) {
@@ -153,9 +155,7 @@
         models.values.forEach { model ->
             val pool = pools.getOrPut(model.id) { Pool(model, FairQueue(settings)) }
             pool.model = model
-            val members = servers.values.filter { !it.released && model.id in it.server.models }
-            pool.prefills = members.filter { it.server.role == Role.PREFILL }
-            pool.decodes = members.filter { it.server.role == Role.DECODE }
+            pool.setMembers(servers.values.filter { !it.released && model.id in it.server.models })
         }
         pumpAll(now)
     }
@@ -166,7 +166,8 @@
     }
 
     private fun loadReported(event: SchedulingEvent.LoadReported, now: Long) {
-        servers[event.server]?.load?.report(event.report, now)
+        if (servers[event.server]?.load?.report(event.report, now) != true) return
+        pools.values.forEach { it.refresh() }
         pumpAll(now)
     }
 
@@ -181,16 +182,21 @@
     private fun pump(pool: Pool, now: Long) {
         if (pool.queue.size == 0) return
         for (late in pool.queue.takeLate(now)) refuse(late, ResultCode.DEADLINE_UNREACHABLE, now)
-        while (pool.queue.size > 0) {
-            val work = pool.queue.candidates().take(MAX_CANDIDATES).firstOrNull { tryPlace(it, pool, now) } ?: return
+        val open = placer.open(pool, now)
+        while (pool.queue.size > 0 && open.decodes.isNotEmpty()) {
+            val candidates = pool.queue.candidates().take(open.candidates)
+            val work = candidates.firstOrNull { tryPlace(it, pool, open, now) } ?: return
             reply(work, checkNotNull(work.placed))
         }
     }
 
-    private fun tryPlace(work: Work, pool: Pool, now: Long): Boolean {
-        val holder = work.prefill?.takeIf { work.resultUntil > now }
-        val placement =
-            if (holder != null) placer.placeDecode(work, pool, holder, now) else placer.place(work, pool, now)
+    private fun tryPlace(work: Work, pool: Pool, open: OpenServers, now: Long): Boolean {
+        val holder = work.prefill?.takeIf { work.resultUntil > now && it.breaker.healthy }
+        val placement = if (holder != null) {
+            placer.placeDecode(work, pool, open, holder, now)
+        } else {
+            placer.place(work, pool, open, now)
+        }
         if (placement == null) return false
         pool.queue.dispatch(work, now)
         val priority = if (work.item.workClass == WorkClass.BATCH) BATCH_PRIORITY else INTERACTIVE_PRIORITY
@@ -210,7 +216,9 @@
         work.state = Work.State.ENDED
         works.put(work)
         works.ended(work, now)
-        effects.add(Reply(work.item.origin, work.item.id, work.attempt, Refused(code)))
+        val refused = Refused(code)
+        work.refused = refused
+        effects.add(Reply(work.item.origin, work.item.id, work.attempt, refused))
     }
 
     private fun reply(work: Work, placed: Placed) {
@@ -226,7 +234,6 @@
     }
 
     private companion object {
-        const val MAX_CANDIDATES = 4
         const val INTERACTIVE_PRIORITY = 0
         const val BATCH_PRIORITY = 1
     }
