--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -5,6 +5,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import io.anvilvalve.bench.limits.LimitsCommand
 import io.anvilvalve.bench.policy.PolicyCommand
+import io.anvilvalve.bench.router.RouterCommand
 import io.anvilvalve.bench.slopes.SlopesCommand
 
 /** Root of `anvilvalve-bench`. */
@@ -19,6 +20,7 @@
             LimitsCommand(),
             PolicyCommand(),
             SlopesCommand(),
+            RouterCommand(),
         )
     }
 }
--- /dev/null
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/router/RouterBench.kt
@@ -0,0 +1,190 @@
+package io.anvilvalve.bench.router
+
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.port.EngineRequest
+import io.anvilvalve.net.HttpClients
+import io.anvilvalve.net.OkHttpBackendServerClient
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.onEach
+import kotlinx.coroutines.runBlocking
+import org.HdrHistogram.Histogram
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executors
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/** Measures one entry host. Callers run in this process on threads of their own, which are not counted. */
+internal class RouterBench : AutoCloseable {
+    private val http = HttpClients.create()
+    private val direct = OkHttpBackendServerClient(http)
+    private val callerThreads = ConcurrentLinkedQueue<Thread>()
+    private val callers = Executors.newFixedThreadPool(CALLERS) { work ->
+        Thread(work, "bench-caller").also { callerThreads += it }
+    }
+    private val numbers = AtomicLong()
+
+    /** Time to the first token through the router and by the same two engine calls without it, one at a time. */
+    fun addedLatency(): List<RouterMeasure> = withFleet(PACED_SPEED) { fleet ->
+        val caller = BenchCaller(http, fleet.hostAddress, BenchFleet.KEY)
+        val routed = Histogram(DIGITS)
+        val unrouted = Histogram(DIGITS)
+        repeat(WARM_UP + LATENCY_SAMPLES) { number ->
+            val directNanos = directFirstToken(fleet)
+            val routedNanos = caller.stream(BenchFleet.MODEL, tokens = 1).first()
+            if (number >= WARM_UP) {
+                unrouted.recordValue(directNanos)
+                routed.recordValue(routedNanos)
+            }
+        }
+        listOf(50.0, 99.0).map { percentile ->
+            val with = routed.getValueAtPercentile(percentile) / NANOS_PER_MILLI
+            val without = unrouted.getValueAtPercentile(percentile) / NANOS_PER_MILLI
+            RouterMeasure(
+                "first_token_p${percentile.toInt()}",
+                mapOf(
+                    "direct_ms" to without,
+                    "router_ms" to with,
+                    "added_ms" to with - without,
+                    "ratio" to with / without,
+                ),
+            )
+        }
+    }
+
+    /** CPU and allocations at the rate of one host of the target size. */
+    fun atTargetRate(): List<RouterMeasure> = withFleet(PACED_SPEED) { fleet ->
+        val caller = BenchCaller(http, fleet.hostAddress, BenchFleet.KEY)
+        sendAtRate(caller, WARM_UP_SECONDS)
+        val before = ProcessUsage.of(callerThreads)
+        val start = System.nanoTime()
+        val failed = sendAtRate(caller, RATE_SECONDS)
+        val seconds = (System.nanoTime() - start) / NANOS_PER_SECOND
+        val used = ProcessUsage.of(callerThreads) - before
+        val tokens = RATE_SECONDS * REQUESTS_PER_SECOND * TOKENS_PER_REQUEST.toDouble()
+        listOf(
+            RouterMeasure(
+                "target_rate",
+                mapOf(
+                    "requests_per_s" to RATE_SECONDS * REQUESTS_PER_SECOND / seconds,
+                    "tokens_per_s" to tokens / seconds,
+                    "failed" to failed.toDouble(),
+                    "cpu_share_of_core" to used.cpuNanos / NANOS_PER_SECOND / seconds,
+                    "cpu_micros_per_token" to used.cpuNanos / NANOS_PER_MICRO / tokens,
+                    "allocated_bytes_per_token" to used.allocatedBytes / tokens,
+                ),
+            ),
+        )
+    }
+
+    /** Requests and tokens per second of callers that send the next request as soon as they have an answer. */
+    fun saturated(): List<RouterMeasure> = withFleet(UNPACED_SPEED) { fleet ->
+        val caller = BenchCaller(http, fleet.hostAddress, BenchFleet.KEY)
+        listOf("requests" to 1, "tokens" to TOKENS_PER_REQUEST).map { (name, tokens) ->
+            closedLoop(caller, tokens, WARM_UP_SECONDS)
+            val (requests, failed) = closedLoop(caller, tokens, SATURATED_SECONDS)
+            val perSecond = requests.toDouble() / SATURATED_SECONDS
+            RouterMeasure(
+                "saturated_$name",
+                mapOf(
+                    "requests_per_s" to perSecond,
+                    "tokens_per_s" to perSecond * tokens,
+                    "failed" to failed.toDouble(),
+                ),
+            )
+        }
+    }
+
+    override fun close() {
+        callers.shutdownNow()
+        http.dispatcher.executorService.shutdown()
+        http.connectionPool.evictAll()
+    }
+
+    private fun withFleet(speed: Double, measure: (BenchFleet) -> List<RouterMeasure>): List<RouterMeasure> =
+        BenchFleet(speed).use { fleet ->
+            runBlocking { fleet.start() }
+            awaitTokens(fleet)
+            measure(fleet)
+        }
+
+    /** A new host has no tokens of the organisation's rate yet and refuses the first requests as not run. */
+    private fun awaitTokens(fleet: BenchFleet) {
+        val caller = BenchCaller(http, fleet.hostAddress, BenchFleet.KEY)
+        val deadline = System.nanoTime() + START_SECONDS * NANOS_PER_SECOND
+        while (System.nanoTime() < deadline) {
+            if (runCatching { caller.stream(BenchFleet.MODEL, tokens = 1) }.isSuccess) return
+            Thread.sleep(START_POLL_MILLIS)
+        }
+        error("the host takes no requests")
+    }
+
+    private fun directFirstToken(fleet: BenchFleet): Long = runBlocking {
+        val request = EngineRequest(
+            RequestId("direct-${numbers.incrementAndGet()}"),
+            attempt = 1,
+            ModelId(BenchFleet.MODEL),
+            BenchCaller.PROMPT,
+            promptTokens = 6,
+            maxTokens = 1,
+        )
+        val start = System.nanoTime()
+        val kv = direct.prefill(fleet.prefillServer, request).getOrNull()
+        var firstAt = 0L
+        direct.decode(fleet.decodeServer, request, kv).onEach { firstAt = System.nanoTime() }.first()
+        firstAt - start
+    }
+
+    /** Sends at the target rate for [seconds] and returns how many requests failed. */
+    private fun sendAtRate(caller: BenchCaller, seconds: Int): Int {
+        val start = System.nanoTime()
+        val sent = (0 until seconds * REQUESTS_PER_SECOND).map { number ->
+            val due = start + (number * NANOS_PER_SECOND / REQUESTS_PER_SECOND).toLong()
+            TimeUnit.NANOSECONDS.sleep(due - System.nanoTime())
+            callers.submit { caller.stream(BenchFleet.MODEL, TOKENS_PER_REQUEST) }
+        }
+        return sent.count { it.failed() }
+    }
+
+    private fun closedLoop(caller: BenchCaller, tokens: Int, seconds: Int): Pair<Int, Int> {
+        val end = System.nanoTime() + seconds * NANOS_PER_SECOND
+        val loops = List(CLOSED_LOOPS) {
+            callers.submit<Pair<Int, Int>> {
+                var done = 0
+                var failed = 0
+                while (System.nanoTime() < end) {
+                    if (runCatching { caller.stream(BenchFleet.MODEL, tokens) }.isSuccess) done++ else failed++
+                }
+                done to failed
+            }
+        }
+        return loops.map { it.get() }.reduce { a, b -> a.first + b.first to a.second + b.second }
+    }
+
+    private fun Future<*>.failed(): Boolean = runCatching { get() }.isFailure
+
+    private companion object {
+        const val CALLERS = 256
+        const val CLOSED_LOOPS = 64
+        const val WARM_UP = 500
+        const val LATENCY_SAMPLES = 1_000
+        const val DIGITS = 3
+        const val REQUESTS_PER_SECOND = 26
+        const val TOKENS_PER_REQUEST = 300
+        const val WARM_UP_SECONDS = 5
+        const val RATE_SECONDS = 15
+        const val SATURATED_SECONDS = 5
+        const val START_SECONDS = 20
+        const val START_POLL_MILLIS = 50L
+        const val NANOS_PER_MICRO = 1e3
+        const val NANOS_PER_MILLI = 1e6
+        const val NANOS_PER_SECOND = 1e9
+
+        /** Token time of 1 ms and 0.08 ms for each running request. */
+        const val PACED_SPEED = 10.0
+
+        /** Engines wait less than a timer tick. */
+        const val UNPACED_SPEED = 1_000.0
+    }
+}
