--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -6,6 +6,7 @@
 import io.anvilvalve.bench.limits.LimitsCommand
 import io.anvilvalve.bench.policy.PolicyCommand
 import io.anvilvalve.bench.policy.SchedulerCommand
+import io.anvilvalve.bench.router.RouterCommand
 import io.anvilvalve.bench.slopes.SlopesCommand
 
 /** Root of `anvilvalve-bench`. */
@@ -21,6 +22,7 @@
             PolicyCommand(),
             SchedulerCommand(),
             SlopesCommand(),
+            RouterCommand(),
         )
     }
 }
