--- a/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetWorld.kt
+++ b/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/FleetWorld.kt
@@ -4,6 +4,7 @@
 import io.anvilvalve.api.id.DataCentreId
 import io.anvilvalve.api.id.HostId
 import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.id.KeyHash
 import io.anvilvalve.api.id.LogOffset
 import io.anvilvalve.api.id.OrganisationId
 import io.anvilvalve.api.id.RegionId
@@ -73,6 +74,7 @@
     var checksClockOnWake = true
     private val agenda = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
     private val log = mutableListOf<LogRecord>()
+    private val declaredGone = HashMap<Int, Incarnation>()
     private val organisations = listOf(
         Organisation(OrganisationId("small"), rate = 1_000, burst = 2_000),
         Organisation(OrganisationId("large"), rate = 20_000, burst = 50_000),
@@ -120,6 +122,12 @@
         hosts += host
         note("start ${member.incarnation} at $address")
         handle(host, FleetEvent.LimitsChanged(organisations))
+        val giver = hosts.filter { it.alive && it != host }.randomOrNull(random)
+        if (giver != null && chance(0.5)) {
+            // The covered offset of a real snapshot is at least as old as the state of its writer.
+            handle(host, FleetEvent.Restored(giver.rules.applied, giver.rules.snapshot()))
+            note("restored from ${giver.member.incarnation} at ${giver.rules.applied}")
+        }
         every(host, 100) { handle(host, FleetEvent.Tick) }
         every(host, 300) { readLog(host) }
         every(host, 150) { if (storm) admit(host) }
@@ -159,7 +167,11 @@
     private fun catchUp(host: SimulatedHost, end: Int, sentAt: Duration) {
         val from = host.rules.applied.value.toInt() + 1
         val page = if (chance(0.1)) minOf(end, from + 2) else end
-        for (offset in from until page) handle(host, FleetEvent.RecordApplied(LogOffset(offset.toLong()), log[offset]))
+        for (index in from until page) {
+            val offset = LogOffset(index.toLong())
+            val gone = declaredGone[index]?.let { FleetEvent.DeclaredGone(it, offset) }
+            handle(host, listOfNotNull(FleetEvent.RecordApplied(offset, log[index]), gone))
+        }
         if (page == end) handle(host, FleetEvent.TailReached(sentAt))
     }
 
@@ -209,9 +221,13 @@
         handle(host, FleetEvent.Admit(id, organisation.id, tokens, host.clock(now) + deadline))
     }
 
-    private fun handle(host: SimulatedHost, event: FleetEvent) {
+    private fun handle(host: SimulatedHost, event: FleetEvent) = handle(host, listOf(event))
+
+    /** Checks the state after all [events], which belong to one position of the log. */
+    private fun handle(host: SimulatedHost, events: List<FleetEvent>) {
         if (!host.alive || host.stopped) return
-        host.reducer.reduce(event, host.staleNow ?: host.clock(now)).forEach { perform(host, it) }
+        val at = host.staleNow ?: host.clock(now)
+        events.flatMap { host.reducer.reduce(it, at) }.forEach { perform(host, it) }
         checker.afterEvent(host)
     }
 
@@ -219,12 +235,26 @@
         counts.merge(effect.javaClass.simpleName, 1, Int::plus)
         when (effect) {
             is FleetEffect.Append -> append(host, effect.record)
+
             is FleetEffect.Send -> send(host, effect)
+
             is FleetEffect.Admitted -> admitted(host, effect.id)
+
             is FleetEffect.Refused -> checker.refused(effect.id)
+
             is FleetEffect.SelfRemoved -> restart(host)
+
             is FleetEffect.Left -> host.stopped = true
-            else -> note("${host.member.incarnation} $effect")
+
+            is FleetEffect.MembersChanged -> note(
+                "${host.member.incarnation} sees ${effect.members.map {
+                    it.incarnation
+                }}",
+            )
+
+            is FleetEffect.RemovalEffective -> note("${host.member.incarnation} removes ${effect.member.incarnation}")
+
+            is FleetEffect.CurrentChanged -> note("${host.member.incarnation} is current: ${effect.current}")
         }
     }
 
@@ -293,6 +323,7 @@
         note("crash ${host.member.incarnation}")
         host.alive = false
         host.stopped = true
+        if (chance(0.3)) after(between(0, 3)) { declareGone(host.member.incarnation) }
         val sameAddress = chance(0.6)
         val index = host.member.host.value.drop(1).toInt()
         after(between(0, 6)) {
@@ -301,6 +332,14 @@
         }
     }
 
+    /** An operator's release note; its record is of no other interest to the rules. */
+    private fun declareGone(incarnation: Incarnation) {
+        if (now < logDownUntil) return
+        note("log ${log.size} $incarnation is declared gone")
+        declaredGone[log.size] = incarnation
+        log += LogRecord.KeyWithdrawn(KeyHash.of("note"))
+    }
+
     private fun after(delay: Duration, run: () -> Unit) {
         agenda += Event(now + delay, order++, run)
     }
