--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsCommand.kt
@@ -38,12 +38,13 @@
             Json.encodeToString(LimitsResult.serializer(), result)
         } else {
             result.run {
-                "%-18s %-8s %8.4f %8.4f %8.4f %10.0f %8.2f".format(
+                "%-18s %-8s %8.4f %8.4f %8.4f %8.4f %10.0f %8.2f".format(
                     Locale.ROOT,
                     scenario,
                     policy,
                     peakOverCeilingRatio,
                     refusedWithinRateRatio,
+                    worstOrganisationRefusedRatio,
                     admittedAtOnceRatio,
                     peerBytesPerHostPerSecond,
                     logAppendsPerSecond,
@@ -53,6 +54,6 @@
     )
 
     private companion object {
-        const val HEADER = "scenario           policy       peak  refused  at once    bytes/s appends/s"
+        const val HEADER = "scenario           policy       peak  refused    worst  at once    bytes/s appends/s"
     }
 }
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsResult.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsResult.kt
@@ -10,6 +10,7 @@
  * the limit.
  * @property refusedWithinRateRatio refused requests beyond those that one central bucket refuses, per request offered, of
  * the organisations that stay within their rate.
+ * @property worstOrganisationRefusedRatio the same for the organisation with the highest ratio.
  * @property overloadedUseRatio tokens per second that an organisation over its rate uses, divided by the rate.
  * @property admittedAtOnceRatio requests that were admitted without waiting for another host, per request offered.
  * @property peerBytesPerHostPerSecond bytes of peer frames that a host sends.
@@ -21,6 +22,7 @@
     val policy: String,
     @SerialName("peak_over_ceiling_ratio") val peakOverCeilingRatio: Double,
     @SerialName("refused_within_rate_ratio") val refusedWithinRateRatio: Double,
+    @SerialName("worst_organisation_refused_ratio") val worstOrganisationRefusedRatio: Double,
     @SerialName("overloaded_use_ratio") val overloadedUseRatio: Double? = null,
     @SerialName("peer_bytes_per_host_s") val peerBytesPerHostPerSecond: Double,
     @SerialName("log_appends_s") val logAppendsPerSecond: Double,
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsRun.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/limits/LimitsRun.kt
@@ -121,7 +121,7 @@
         val central = organisations.associate { it.id to centralRefusals(it) }
         val overloaded = organisations.first().takeIf { scenario == LimitsScenario.FOUR_TIMES }
         val within = organisations.filter { it != overloaded }
-        val excess = within.sumOf { organisation ->
+        val excess = within.associateWith { organisation ->
             val refused = counted.count { it.organisation == organisation && it.refused != null }
             maxOf(0, refused - central.getValue(organisation.id))
         }
@@ -129,7 +129,10 @@
             scenario = scenario.label,
             policy = policy,
             peakOverCeilingRatio = organisations.maxOf(::peak),
-            refusedWithinRateRatio = excess.toDouble() / counted.count { it.organisation != overloaded },
+            refusedWithinRateRatio = excess.values.sum().toDouble() / counted.count { it.organisation != overloaded },
+            worstOrganisationRefusedRatio = excess.maxOf { (organisation, refused) ->
+                refused.toDouble() / counted.count { it.organisation == organisation }
+            },
             overloadedUseRatio = overloaded?.let { organisation ->
                 val used = counted.filter { it.organisation == organisation && it.admittedAt != null }.sumOf { it.used }
                 used / (organisation.rate * seconds)
