--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/OrderIssuer.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/OrderIssuer.kt
@@ -39,7 +39,10 @@
 
     /** Notes the release; only the holder of the lease pays for a walk over all servers. */
     fun releaseChanged(next: Release) {
+        val last = release
         release = next
+        // Targets depend on these maps only, which releases share while they do not change.
+        if (next.servers === last.servers && next.models === last.models && next.adapters === last.adapters) return
         isOutdated = true
     }
 
