--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Occupancy.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Occupancy.kt
@@ -101,7 +101,8 @@
 
     private fun learnPace(work: Work, decode: ServerState, event: SchedulingEvent.Progressed, now: Long) {
         val elapsed = now - work.firstTokenAt
-        val spent = event.spent.inWholeMicroseconds
+        // Some origins count the transfer and the first token in the time spent.
+        val spent = minOf(event.spent.inWholeMicroseconds, elapsed)
         if (elapsed <= 0 || spent <= 0 || event.tokens < MIN_TOKENS) return
         val concurrency = (decode.occupancyIntegral(now) - work.occupancyAtFirstToken) / elapsed
         decode.speed.observe(concurrency, spent.toDouble() / event.tokens)
