Add a baseline without overbooking to the policy measurement

The gain of overbooking was only measured together with other changes. v3 is the scheduler without it.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PolicyRun.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/policy/PolicyRun.kt
@@ -1,5 +1,7 @@
 package io.anvilvalve.bench.policy
 
+import io.anvilvalve.rules.scheduling.SchedulingSettings
+
 /** Runs policies on one workload. */
 internal class PolicyRun(private val workload: Workload, private val seed: Long) {
     private val spread = spreadSpeeds(workload)
@@ -44,6 +46,7 @@
         "naive" -> NaivePolicy(spread, hosts)
         "v1" -> TwoChoicesPolicy(spread, hosts, seed)
         "v2" -> CentralCountsPolicy(spread, simulation, hosts)
+        "v3" -> SchedulerPolicy(spread, simulation, hosts, SchedulingSettings(overbooking = false)).apply { start() }
         "current" -> SchedulerPolicy(spread, simulation, hosts).apply { start() }
         else -> error("unknown policy $name")
     }
@@ -52,7 +55,7 @@
 
     companion object {
         const val BOUND = "bound"
-        val POLICIES = listOf("naive", "v1", "v2", "current", BOUND)
+        val POLICIES = listOf("naive", "v1", "v2", "v3", "current", BOUND)
 
         /** Makes every other worker slower by the factor of the workload. */
         private fun spreadSpeeds(workload: Workload): Workload {
