--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -20,9 +20,9 @@
         fun withSubcommands(): CliktCommand = BenchCommand().subcommands(
             LimitsCommand(),
             PolicyCommand(),
+            RouterCommand(),
             SchedulerCommand(),
             SlopesCommand(),
-            RouterCommand(),
         )
     }
 }
