Keep limit slots from moving for small differences

Cause: hosts gave slots up for a difference of one and any host took a free slot after 5 s, so that a slot went round several hosts, each of which may not take it back for 2 min. Change: slots move only for a member that falls short by more than a quarter of the equal number; hosts with room take an abandoned slot first.

--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
@@ -81,21 +81,31 @@
         for (slot in free) {
             val planned = view.members.filter { loads.getValue(it.incarnation) < quota }
                 .maxByOrNull { Rendezvous.weight(it.host.value, slot.toLong()) } ?: self
-            loads.merge(planned.incarnation, 1, Int::plus)
-            val abandoned = now - freeSince.getValue(slot) > times.slotPatience
-            if (planned.incarnation == self.incarnation || abandoned) mine += slot
+            val taker = if (isAbandoned(slot, loads.getValue(self.incarnation) < quota, now)) self else planned
+            loads.merge(taker.incarnation, 1, Int::plus)
+            if (taker.incarnation == self.incarnation) mine += slot
         }
         return mine.filterNot { wasGivenUp(it, now) }
     }
 
+    /** Whether the planned owner has left [slot] for long; hosts with [room] take it first. */
+    private fun isAbandoned(slot: Int, room: Boolean, now: Duration): Boolean {
+        val waited = now - freeSince.getValue(slot)
+        return waited > times.slotPatience * (if (room) 1 else 2)
+    }
+
     private fun wasGivenUp(slot: Int, now: Duration): Boolean =
         givenUp[slot]?.let { now - it < times.retakeAfter } == true
 
-    /** Slots to give up for members that have less than an equal number. */
+    /**
+     * Slots to give up for members that have much less than an equal number. Small differences stay: a slot that moves is
+     * empty for some seconds, and its old owner cannot take it back for [FleetTimes.retakeAfter].
+     */
     private fun excess(): List<Int> {
         val loads = loads()
         val fair = slots.count / view.members.size
-        var missing = loads.values.sumOf { maxOf(0, fair - it) }
+        val tolerated = fair - maxOf(1, fair / TOLERANCE)
+        var missing = loads.values.filter { it < tolerated }.sumOf { fair - it }
         var given = 0
         while (missing > 0) {
             val donor = loads.entries.sortedBy { it.key.value }.maxBy { it.value }
@@ -117,4 +127,9 @@
         }
         return loads
     }
+
+    private companion object {
+        /** Part of the equal number by which a member may fall short. */
+        const val TOLERANCE = 4
+    }
 }
--- a/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/SlotAssignerSpec.kt
+++ b/anvilvalve-rules-fleet/src/test/kotlin/io/anvilvalve/rules/fleet/SlotAssignerSpec.kt
@@ -20,9 +20,9 @@
         val self = Member(HostId("a"), Incarnation("a#1"), "a", DataCentreId("d"), RegionId("r"))
         val other = self.copy(host = HostId("b"), incarnation = Incarnation("b#1"), address = "b")
 
-        class Fixture(members: List<Member>) {
+        class Fixture(members: List<Member>, slots: Int = 2) {
             val view = Membership(self.incarnation, times)
-            val table = SlotTable(count = 2)
+            val table = SlotTable(slots)
             val assigner = SlotAssigner(self, table, view, times, Random(1))
 
             init {
@@ -92,4 +92,19 @@
                 table.owner(0) shouldBe other.incarnation
             }
         }
+
+        test("a small difference moves no slot, which its old owner could not take back for minutes") {
+            Fixture(listOf(self, other), slots = 8).run {
+                assign(self, List(5) { null }, now = 1.seconds)
+                table.assign(LogRecord.SlotsAssigned(listOf(5, 6, 7), other.incarnation, List(3) { null }), view)
+                nextRecord(4.seconds) shouldBe null
+            }
+        }
+
+        test("a new member gets slots from members that own more than an equal number") {
+            Fixture(listOf(self, other), slots = 8).run {
+                assign(self, List(8) { null }, now = 1.seconds)
+                (nextRecord(4.seconds) as LogRecord.SlotsReleased).slots.size shouldBe 4
+            }
+        }
     })
