--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/BenchCommand.kt
@@ -5,6 +5,9 @@
 import com.github.ajalt.clikt.core.subcommands
 import io.anvilvalve.bench.limits.LimitsCommand
 import io.anvilvalve.bench.policy.PolicyCommand
+import io.anvilvalve.bench.policy.SchedulerCommand
+import io.anvilvalve.bench.router.RouterCommand
+import io.anvilvalve.bench.slopes.SlopesCommand
 
 /** Root of `anvilvalve-bench`. */
 internal class BenchCommand : CliktCommand(name = "anvilvalve-bench") {
@@ -13,10 +16,13 @@
     override fun run() = Unit
 
     companion object {
-        /** One line per subcommand; each lives in a package of its own. */
+        /** The root with one line per subcommand. */
         fun withSubcommands(): CliktCommand = BenchCommand().subcommands(
             LimitsCommand(),
             PolicyCommand(),
+            SchedulerCommand(),
+            SlopesCommand(),
+            RouterCommand(),
         )
     }
 }
--- a/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
+++ b/anvilvalve-rules-release/src/main/kotlin/io/anvilvalve/rules/release/ReleaseRules.kt
@@ -51,7 +51,7 @@
     /** Engines whose role change waits because a pool would fall below the capacity that the release names. */
     val heldEngines: Set<BackendServerId> get() = orders.held
 
-    /** Release in force; withdrawn keys are not in it. */
+    /** Release in force as the log defines it; keys whose withdrawal the log has are not in it. */
     val release: Release get() = state.release
 
     override fun reduce(event: ReleaseEvent, now: Duration): List<ReleaseEffect> {
@@ -65,6 +65,7 @@
 
     /** Returns the state as of [applied]. */
     fun snapshot(): ReleaseSnapshot = state.snapshot().copy(
+        heardWithdrawals = withdrawn.all - state.withdrawnKeys,
         claims = table.keptClaims(now),
         abandonedClaims = table.abandonedClaims(now),
         orderLease = leases.newest,
@@ -102,7 +103,7 @@
             is LogRecord.KeyWithdrawn -> {
                 outbox.confirm(record)
                 state.withdraw(record.hash)
-                revoke(record.hash)
+                revoke(record.hash, inLog = true)
             }
 
             is LogRecord.Claims -> claims.claimed(record.claims, now)
@@ -134,7 +135,7 @@
         out += state.apply(record.note)
         if (release.number == before) return
         releaseChanged()
-        record.note.changes.filterIsInstance<Change.WithdrawKey>().forEach { revoke(it.hash) }
+        record.note.changes.filterIsInstance<Change.WithdrawKey>().forEach { revoke(it.hash, inLog = true) }
     }
 
     private fun releaseChanged() {
@@ -145,11 +146,13 @@
     private fun restored(event: ReleaseEvent.Restored) {
         if (event.covered <= applied) return
         applied = event.covered
+        val usable = release.keys.keys
         state.restore(event.state)
         table.restore(event.state, now)
         leases.restore(event.state.orderLease)
         releaseChanged()
-        event.state.withdrawnKeys.forEach { revoke(it) }
+        event.state.withdrawnKeys.forEach { if (it in usable) revoke(it, inLog = true) else withdrawn.add(it) }
+        event.state.heardWithdrawals.forEach { withdrawalHeard(it) }
         claims.reconsider(now)
     }
 
@@ -161,12 +164,12 @@
 
     private fun withdrawalHeard(hash: KeyHash) {
         if (hash in withdrawn) return
-        revoke(hash)
+        revoke(hash, inLog = false)
         outbox.add(LogRecord.KeyWithdrawn(hash), now + times.withdrawalSpread * random.nextDouble())
     }
 
-    private fun revoke(hash: KeyHash) {
-        if (withdrawn.add(hash)) out += ReleaseEffect.KeyRevoked(hash)
+    private fun revoke(hash: KeyHash, inLog: Boolean) {
+        if (withdrawn.add(hash)) out += ReleaseEffect.KeyRevoked(hash, inLog)
     }
 
     private fun tailReached() {
@@ -191,8 +194,8 @@
         claims.reconsider(now)
     }
 
-    private fun isGone(incarnation: Incarnation): Boolean =
-        incarnation in removed || (members.isNotEmpty() && members.none { it.incarnation == incarnation })
+    private fun isGone(incarnation: Incarnation): Boolean = incarnation != self &&
+        (incarnation in removed || (members.isNotEmpty() && members.none { it.incarnation == incarnation }))
 
     private fun flush() {
         val gatherer = if (gatherClaims) gatherer() else null
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.id.HostId
 import io.anvilvalve.api.id.ModelId
 import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.peer.Phase
 import io.anvilvalve.api.peer.PlacementOutcome.Placed
 import io.anvilvalve.api.peer.PlacementOutcome.Refused
 import io.anvilvalve.api.peer.WorkClass
@@ -58,6 +59,7 @@
             pool == null -> return refuse(work, ResultCode.UNKNOWN_MODEL, now)
             !pool.hasServers -> return refuse(work, ResultCode.NO_BACKEND_SERVER, now)
         }
+        work.lengths = pool.lengths(work.item.workClass)
         if (earlier != null) replace(earlier, work, now)
         if (earlier?.placed == null) {
             retries.firstAttempt()
@@ -70,6 +72,10 @@
     private fun enqueue(work: Work, pool: Pool, now: Long) {
         val bestCase = if (work.resultUntil > now) 0 else placer.bestCase(work, pool) ?: 0
         work.latestStart = work.deadline - bestCase
+        // With slack left the prefill can start before a decode slot is free, and estimates may be wrong by that much.
+        val slack = work.item.firstTokenBudgetMicros * settings.deadlineSlack
+        val latest = work.latestStart - minOf(slack.toLong(), settings.resultLifetime.inWholeMicroseconds)
+        if (latest > now) work.latestStart = latest
         when {
             work.latestStart < now -> refuse(work, ResultCode.DEADLINE_UNREACHABLE, now)
 
@@ -84,8 +90,9 @@
 
     /** Repeats the answer when the origin may not have received it. */
     private fun repeated(work: Work, attempt: Int) {
-        val placed = work.placed ?: return
-        if (attempt == work.attempt && !work.started && !work.ended) reply(work, placed)
+        if (attempt != work.attempt || work.started) return
+        work.refused?.let { effects.add(Reply(work.item.origin, work.item.id, attempt, it)) }
+        if (!work.ended) work.placed?.let { reply(work, it) }
     }
 
     /** A later attempt ends the [earlier] one, and uses its prefill result while that lives. */
@@ -108,7 +115,9 @@
             failed(it, now)
         }
         if (work.ended) works.ended(work, now)
-        pumpAll(now)
+        if (event.phase == Phase.DECODE_FINISHED) pools[work.item.model]?.queue?.settle(work, event.tokens)
+        // The other phases free neither a slot nor prefill time.
+        if (work.ended || event.phase == Phase.PREFILL_FINISHED) pumpAll(now)
     }
 
     private fun announced(event: SchedulingEvent.RunningAnnounced, now: Long) {
@@ -122,9 +131,7 @@
     }
 
     private fun withdrawn(id: RequestId, now: Long) {
-        val work = works[id] ?: return
-        if (work.ended) return
-        end(work, now)
+        end(works[id] ?: return, now)
         pumpAll(now)
     }
 
@@ -146,11 +153,9 @@
         val models = event.models.associateBy { it.id }
         (pools.keys - models.keys).forEach { dropPool(it, now) }
         models.values.forEach { model ->
-            val pool = pools.getOrPut(model.id) { Pool(model, FairQueue(settings.queueBound, settings.batchShare)) }
+            val pool = pools.getOrPut(model.id) { Pool(model, FairQueue(settings)) }
             pool.model = model
-            val members = servers.values.filter { !it.released && model.id in it.server.models }
-            pool.prefills = members.filter { it.server.role == Role.PREFILL }
-            pool.decodes = members.filter { it.server.role == Role.DECODE }
+            pool.setMembers(servers.values.filter { !it.released && model.id in it.server.models })
         }
         pumpAll(now)
     }
@@ -161,7 +166,8 @@
     }
 
     private fun loadReported(event: SchedulingEvent.LoadReported, now: Long) {
-        servers[event.server]?.load?.report(event.report, now)
+        if (servers[event.server]?.load?.report(event.report, now) != true) return
+        pools.values.forEach { it.refresh() }
         pumpAll(now)
     }
 
@@ -176,18 +182,23 @@
     private fun pump(pool: Pool, now: Long) {
         if (pool.queue.size == 0) return
         for (late in pool.queue.takeLate(now)) refuse(late, ResultCode.DEADLINE_UNREACHABLE, now)
-        while (pool.queue.size > 0) {
-            val work = pool.queue.candidates().take(MAX_CANDIDATES).firstOrNull { tryPlace(it, pool, now) } ?: return
+        val open = placer.open(pool, now)
+        while (pool.queue.size > 0 && open.decodes.isNotEmpty()) {
+            val candidates = pool.queue.candidates().take(open.candidates)
+            val work = candidates.firstOrNull { tryPlace(it, pool, open, now) } ?: return
             reply(work, checkNotNull(work.placed))
         }
     }
 
-    private fun tryPlace(work: Work, pool: Pool, now: Long): Boolean {
-        val holder = work.prefill?.takeIf { work.resultUntil > now }
-        val placement =
-            if (holder != null) placer.placeDecode(work, pool, holder, now) else placer.place(work, pool, now)
+    private fun tryPlace(work: Work, pool: Pool, open: OpenServers, now: Long): Boolean {
+        val holder = work.prefill?.takeIf { work.resultUntil > now && it.breaker.healthy }
+        val placement = if (holder != null) {
+            placer.placeDecode(work, pool, open, holder, now)
+        } else {
+            placer.place(work, pool, open, now)
+        }
         if (placement == null) return false
-        pool.queue.dispatch(work)
+        pool.queue.dispatch(work, now)
         val priority = if (work.item.workClass == WorkClass.BATCH) BATCH_PRIORITY else INTERACTIVE_PRIORITY
         work.placed = Placed(placement.prefill.server.id, placement.decode.server.id, priority)
         occupancy.hold(work, placement, now)
@@ -205,7 +216,9 @@
         work.state = Work.State.ENDED
         works.put(work)
         works.ended(work, now)
-        effects.add(Reply(work.item.origin, work.item.id, work.attempt, Refused(code)))
+        val refused = Refused(code)
+        work.refused = refused
+        effects.add(Reply(work.item.origin, work.item.id, work.attempt, refused))
     }
 
     private fun reply(work: Work, placed: Placed) {
@@ -221,7 +234,6 @@
     }
 
     private companion object {
-        const val MAX_CANDIDATES = 4
         const val INTERACTIVE_PRIORITY = 0
         const val BATCH_PRIORITY = 1
     }
