Run prompts that are late even on an idle server, and spread withdrawals once

Cause: the main job refused prompts of 5,000 tokens and more within rate: after slow first prefills the learned time of such prompts was beyond the deadline, they were refused, and so their time was never observed again. Withdrawals that the log carries were also sent from every host to every host. Change: a prompt whose best case is beyond the target may wait for its start as long as others for their first token; withdrawals go to peers only when the log has not carried them; the pool scope is a setting.

--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PoolScope.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/PoolScope.kt
@@ -1,4 +1,4 @@
-package io.anvilvalve.core
+package io.anvilvalve.api
 
 /** Which backend servers of a model one owner schedules. */
 enum class PoolScope {
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/ReducerRig.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/ReducerRig.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.right
 import io.anvilvalve.api.BinaryCodec
+import io.anvilvalve.api.PoolScope
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.DataCentreId
 import io.anvilvalve.api.id.HostId
@@ -31,7 +32,6 @@
 import io.anvilvalve.core.HostEffect
 import io.anvilvalve.core.HostEvent
 import io.anvilvalve.core.HostReducer
-import io.anvilvalve.core.PoolScope
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.core
 
+import io.anvilvalve.api.PoolScope
 import io.anvilvalve.api.Reducer
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.HostId
@@ -334,7 +335,12 @@
     private fun keyRevoked(effect: ReleaseEffect.KeyRevoked) {
         keys.revoke(effect.hash)
         out.log(LogEvent.KEY_WITHDRAWN, "key" to effect.hash)
-        members.filter { it.host != self.host }.forEach { send(it, PeerMessage.KeyWithdrawn(effect.hash)) }
+        // A withdrawal that is in the log reaches the other hosts by it.
+        if (!effect.inLog) {
+            members.filter {
+                it.host != self.host
+            }.forEach { send(it, PeerMessage.KeyWithdrawn(effect.hash)) }
+        }
         requests.keyRevoked(effect.hash)
         calls.keyRevoked(effect.hash)
     }
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PoolOwners.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PoolOwners.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.core
 
+import io.anvilvalve.api.PoolScope
 import io.anvilvalve.api.RendezvousHash
 import io.anvilvalve.api.id.DataCentreId
 import io.anvilvalve.api.id.HostId
--- a/anvilvalve-core/src/test/kotlin/io/anvilvalve/core/ModelRequestsSpec.kt
+++ b/anvilvalve-core/src/test/kotlin/io/anvilvalve/core/ModelRequestsSpec.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.core
 
 import arrow.core.left
+import io.anvilvalve.api.PoolScope
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.DataCentreId
 import io.anvilvalve.api.id.HostId
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
@@ -161,6 +161,7 @@
         ),
         seed = incarnation.value.hashCode().toLong(),
         limitSlots = settings.peers.limitSlots,
+        poolScope = settings.peers.poolScope,
     )
 
     private suspend fun CoroutineScope.tick() {
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -71,6 +71,9 @@
 
     private fun enqueue(work: Work, pool: Pool, now: Long) {
         val bestCase = if (work.resultUntil > now) 0 else placer.bestCase(work, pool) ?: 0
+        // A prompt that would be late even on an idle server must still run, and its time be learned: refusing it would
+        // refuse every prompt of its length for ever. It may wait for its start as long as others for their first token.
+        if (now + bestCase > work.deadline) work.deadline += bestCase
         work.latestStart = work.deadline - bestCase
         // With slack left the prefill can start before a decode slot is free, and estimates may be wrong by that much.
         val slack = work.item.firstTokenBudgetMicros * settings.deadlineSlack
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Work.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/Work.kt
@@ -5,7 +5,8 @@
 
 /** One attempt of a request, from its submission until it is forgotten. Times are in microseconds. */
 internal class Work(val item: WorkItem, val attempt: Int, val arrivedAt: Long) {
-    val deadline: Long = arrivedAt + item.firstTokenBudgetMicros
+    /** Time by which the first token is wanted. */
+    var deadline: Long = arrivedAt + item.firstTokenBudgetMicros
     val kvPieces: Int = pieces(item.promptTokens + item.maxTokens)
     val promptPieces: Int = pieces(item.promptTokens)
 
--- a/anvilvalve-rules-scheduling/src/test/kotlin/io/anvilvalve/rules/scheduling/PoolSchedulerSpec.kt
+++ b/anvilvalve-rules-scheduling/src/test/kotlin/io/anvilvalve/rules/scheduling/PoolSchedulerSpec.kt
@@ -69,6 +69,16 @@
             driver.held("p") shouldBe (0 to 0)
         }
 
+        test("a prompt that is late even on an idle server runs, and a wrong estimate of its time does not last") {
+            val driver = Driver(prefill, decode)
+            driver.submit(item("1", prompt = 10_000)).shouldBeInstanceOf<Placed>()
+            driver.now += 60.seconds
+            driver.report("1", Phase.PREFILL_FINISHED)
+            driver.report("1", Phase.FIRST_TOKEN)
+            driver.report("1", Phase.DECODE_FINISHED, tokens = 100)
+            driver.submit(item("2", prompt = 10_000)).shouldBeInstanceOf<Placed>()
+        }
+
         test("a leaving server gets no new work") {
             val driver = Driver(prefill, decode)
             driver.servers(prefill, server("d", Role.DECODE, leaving = true))
--- a/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/HostSettings.kt
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/HostSettings.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.settings
 
 import arrow.core.Either
+import io.anvilvalve.api.PoolScope
 import java.nio.file.Path
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -77,6 +78,7 @@
         val port: Int = 8_082,
         val sendQueue: Int = 1_024,
         val limitSlots: Int = 64,
+        val poolScope: PoolScope = PoolScope.FLEET,
     )
 
     /**
--- a/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/SettingsFiles.kt
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/SettingsFiles.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.left
+import io.anvilvalve.api.PoolScope
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -80,6 +81,7 @@
         port = port(PEERS, "port", default.port),
         sendQueue = int(PEERS, "send_queue", default.sendQueue, 16..65_536),
         limitSlots = int(PEERS, "limit_slots", default.limitSlots, 1..4_096),
+        poolScope = choice(PEERS, "pool_scope", default.poolScope, PoolScope.entries),
     )
 }
 
