Measure bytes per request and cut idle work of a large fleet

Cause: a sampled profile of an idle host among 350 showed the walk over 2,048 limit slots on every tick and a quadratic filter of reachable members. Change: slots are looked over four times a second; reachable members are kept as a list; slopes for running requests and for peer bytes per request.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/ReducerRig.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/ReducerRig.kt
@@ -87,6 +87,13 @@
         return effects
     }
 
+    /** Delivers [message] from a peer and counts its bytes, since every message is sent by some host. */
+    fun receive(from: Member, message: PeerMessage): List<HostEffect> {
+        val frame = PeerFrame(PeerFrame.VERSION, from.host, from.incarnation, LogOffset(log.size - 1L), message)
+        peerBytes += BinaryCodec.encode(PeerFrame.serializer(), frame).size + FRAME_LENGTH_BYTES
+        return feed(HostEvent.FrameReceived(frame))
+    }
+
     private fun perform(effect: HostEffect) {
         when (effect) {
             is HostEffect.ReadLog -> pendingRead = effect.from
@@ -175,7 +182,7 @@
 
         private const val WALL_START = 1_790_000_000_000L
         private const val CHANGES_PER_NOTE = 200
-        private const val SETTLE_TICKS = 200
+        private const val SETTLE_TICKS = 600
         private const val PAGE = 500
         private const val FRAME_LENGTH_BYTES = 4
         private const val SUBNET = 250
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/RequestDriver.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/RequestDriver.kt
@@ -1,9 +1,12 @@
 package io.anvilvalve.bench.slopes
 
 import arrow.core.right
+import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.KeyHash
 import io.anvilvalve.api.id.ModelId
 import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.peer.PlacementOutcome
 import io.anvilvalve.api.peer.WorkClass
 import io.anvilvalve.api.port.KvHandle
 import io.anvilvalve.core.HostEffect
@@ -16,20 +19,31 @@
     private val key = KeyHash.of("key-0")
 
     /** Runs one request to its end; returns whether it was answered whole. */
-    fun run(): Boolean {
-        val id = RequestId("host-0-${number++}")
-        val model = ModelId("model-${number % size.models}")
-        val request = ModelRequest(id, key, model, PROMPT_TOKENS, MAX_TOKENS, WorkClass.INTERACTIVE)
-        return drive(rig.feed(HostEvent.RequestArrived(request)))
-    }
+    fun run(): Boolean = drive(arrive())
 
-    /** Starts a request and leaves it streaming. */
+    /** Starts a request and leaves it streaming; returns whether it got its first token. */
     fun startOnly(): Boolean {
+        rig.tick()
+        val prefill = arrive().filterIsInstance<HostEffect.StartPrefill>().firstOrNull() ?: return false
+        val effects = rig.feed(prefilled(prefill))
+        val decode = effects.filterIsInstance<HostEffect.StartDecode>().firstOrNull() ?: return false
+        rig.feed(HostEvent.TokensDelivered(decode.id, decode.attempt, 1))
+        return true
+    }
+
+    private fun arrive(): List<HostEffect> {
         val id = RequestId("host-0-${number++}")
         val model = ModelId("model-${number % size.models}")
         val request = ModelRequest(id, key, model, PROMPT_TOKENS, MAX_TOKENS, WorkClass.INTERACTIVE)
-        val started = rig.feed(HostEvent.RequestArrived(request)).filterIsInstance<HostEffect.StartPrefill>()
-        return started.any { rig.feed(prefilled(it)).any { effect -> effect is HostEffect.StartDecode } }
+        return rig.feed(HostEvent.RequestArrived(request))
+    }
+
+    /** Runs one request whose pool another host owns; that host places it at once. */
+    fun runElsewhere(): Boolean {
+        val sent = arrive().filterIsInstance<HostEffect.SendFrame>().first { it.frame.message is PeerMessage.Submit }
+        val submit = sent.frame.message as PeerMessage.Submit
+        val placed = PlacementOutcome.Placed(BackendServerId("server-0"), BackendServerId("server-1"))
+        return drive(rig.receive(sent.to, PeerMessage.Placement(submit.item.id, submit.attempt, placed)))
     }
 
     private fun drive(effects: List<HostEffect>): Boolean {
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slopes.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/Slopes.kt
@@ -20,6 +20,7 @@
         "cpu_per_change" to ::cpuPerChange,
         "log_bytes_per_change" to ::logBytesPerChange,
         "cpu_per_request" to ::cpuPerRequest,
+        "peer_bytes_per_request" to ::peerBytesPerRequest,
     )
 
     private fun servers(count: Int) = FleetSize(servers = count, models = MODELS)
@@ -116,6 +117,20 @@
         },
     )
 
+    private fun peerBytesPerRequest(): Slope = Slope(
+        "peer_bytes_per_request",
+        "bytes",
+        "request",
+        FEW_REQUESTS.map { n ->
+            val size = FleetSize(servers = 2)
+            val rig = ReducerRig(size).start()
+            val driver = RequestDriver(rig, size)
+            val before = rig.peerBytes
+            check((1..n).count { driver.runElsewhere() } == n) { "not all requests were answered whole" }
+            n.toDouble() to (rig.peerBytes - before).toDouble()
+        },
+    )
+
     private fun runAndTick(rig: ReducerRig, driver: RequestDriver): Boolean = driver.run().also { rig.tick() }
 
     companion object {
@@ -135,5 +150,8 @@
         private val HOSTS = listOf(7, 100, 350)
         private val REQUESTS = listOf(100, 500, 1_000)
         private val CHANGES = listOf(50, 200, 500)
+
+        /** As many as the own tokens of one host pay for. */
+        private val FEW_REQUESTS = listOf(20, 50, 100)
     }
 }
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
@@ -122,7 +122,7 @@
         requests.tick()
         cancels.tick()
         reachableChanged()
-        catchUp.tick(members.filter { pools.isReachable(it.host) }, out.now)
+        catchUp.tick(pools.reachable, out.now)
         if (current) snapshots.writeIfDue(members.map { it.host }, follower.applied)
         drain.tick(
             running = requests.size + calls.size,
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PoolOwners.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/PoolOwners.kt
@@ -18,10 +18,13 @@
 internal class PoolOwners(private val self: Member, private val scope: PoolScope = PoolScope.FLEET) {
     private val heardAt = HashMap<HostId, Duration>()
     private var members: List<Member> = listOf(self)
-    private var reachable: List<Member> = listOf(self)
     private var refreshedAt = -REFRESH_INTERVAL
     private val owners = HashMap<Pair<ModelId, DataCentreId?>, HostId?>()
 
+    /** Members that have been heard from recently, and this host. */
+    var reachable: List<Member> = listOf(self)
+        private set
+
     /** Data centres that requests of this host go to, nearest first; one null for the whole fleet. */
     var groups: List<DataCentreId?> = groupsOf(reachable)
         private set
@@ -52,8 +55,6 @@
         return true
     }
 
-    fun isReachable(host: HostId): Boolean = reachable.any { it.host == host }
-
     /** Owner of the pool of [model] in [group], or null when no host of the group can be reached. */
     fun owner(model: ModelId, group: DataCentreId?): HostId? = owners.getOrPut(model to group) {
         val candidates = reachable.filter { group == null || it.dataCentre == group }.map { it.host.value }
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetTimes.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/FleetTimes.kt
@@ -17,6 +17,7 @@
  * @property wideProbeInterval how often a large fleet is probed whole while evidence from a majority may be needed.
  * @property calmProbeInterval the same while the log can be read and all membership records are confirmed.
  * @property farSuspectAfter [suspectAfter] for members of other data centres of a large fleet.
+ * @property slotCheckInterval how often the slots are looked over, which costs a walk over all slots and members.
  * @property slotPatience how long the planned owner of a free slot is waited for.
  * @property retakeAfter how long a host leaves a slot alone that it released, so that a late second copy of the release
  * record cannot take the slot away from it while it refills.
@@ -39,6 +40,7 @@
     val suspectAloneAfter: Duration = 60.seconds,
     val appendRetry: Duration = 2.seconds,
     val appendJitter: Duration = 500.milliseconds,
+    val slotCheckInterval: Duration = 250.milliseconds,
     val slotPatience: Duration = 5.seconds,
     val retakeAfter: Duration = 2.minutes,
     val refundKeep: Duration = 2.minutes,
--- a/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
+++ b/anvilvalve-rules-fleet/src/main/kotlin/io/anvilvalve/rules/fleet/SlotAssigner.kt
@@ -18,6 +18,7 @@
     private val givenUp = HashMap<Int, Duration>()
     private val releasing = HashSet<Int>()
     private var nextAppend: Duration? = null
+    private var nextCheck = Duration.ZERO
 
     /** Slots that this host refills: owned in log order and not being released. */
     var refilled: Set<Int> = emptySet()
@@ -36,6 +37,8 @@
 
     /** Returns the record to append at [now], if any; called while the host is current and the log can be read. */
     fun next(now: Duration): LogRecord? {
+        if (now < nextCheck) return null
+        nextCheck = now + times.slotCheckInterval
         val record = wanted(now)
         if (record == null) {
             nextAppend = null
