Split intake and summaries from the host reducer, share the retry budget

Change: Intake, RunningRequest.summary and RunningCall.claimRequest; one RetryBudget in the api module; refusals at intake are counted without the names that a caller can choose.

--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
@@ -41,7 +41,6 @@
     private val catchUp = PeerCatchUp(follower, ::send)
     private val snapshots = Snapshots(self, out) { HostSnapshot(fleet.snapshot(), releases.snapshot()) }
     private val keys = Keys()
-    private val admission = Admission(keys)
     private val pools = PoolOwners(self, config.poolScope)
     private val servers = Servers(self.dataCentre.takeIf { config.poolScope == PoolScope.DATA_CENTRE })
     private val inFlight = InFlightTable(::send)
@@ -54,6 +53,7 @@
     private val calls = ServiceCalls(out, CallLinks())
     private val drain = Drain(out)
     private val board = StatusBoard(out)
+    private val intake = Intake(out, Admission(keys), drain) { release }
 
     private var release = Release()
     private var members: List<Member> = emptyList()
@@ -81,9 +81,9 @@
 
             is HostEvent.LiveListRead -> if (servers.liveListRead(event.hosts)) serversChanged()
 
-            is HostEvent.RequestArrived -> requestArrived(event.request)
+            is HostEvent.RequestArrived -> intake.arrived(event.request, requests::accept)
 
-            is HostEvent.ServiceArrived -> serviceArrived(event.request)
+            is HostEvent.ServiceArrived -> intake.arrived(event.request, calls::accept)
 
             is HostEvent.CallerGone -> if (!requests.callerGone(event.id)) calls.callerGone(event.id)
 
@@ -133,39 +133,6 @@
         statusChanged()
     }
 
-    private fun requestArrived(request: ModelRequest) {
-        val decision = if (accepts()) admission.check(request, release) else Admission.Decision.Refuse(notAccepting())
-        when (decision) {
-            is Admission.Decision.Refuse -> refuse(request.id, decision.code)
-
-            is Admission.Decision.Accept ->
-                requests.accept(RunningRequest(request, checkNotNull(decision.organisation), out.now))
-        }
-    }
-
-    private fun serviceArrived(request: ServiceRequest) {
-        val route = release.routes[request.route]
-        val decision = when {
-            !accepts() -> Admission.Decision.Refuse(notAccepting())
-            route == null -> Admission.Decision.Refuse(ResultCode.UNKNOWN_ROUTE)
-            else -> admission.check(request, route)
-        }
-        when (decision) {
-            is Admission.Decision.Refuse -> refuse(request.id, decision.code)
-
-            is Admission.Decision.Accept ->
-                calls.accept(RunningCall(request, checkNotNull(route), decision.organisation, out.now))
-        }
-    }
-
-    private fun accepts(): Boolean = !drain.refusesNew && release.number.value > 0
-
-    private fun notAccepting(): ResultCode = if (drain.refusesNew) ResultCode.DRAINING else ResultCode.NOT_READY
-
-    private fun refuse(id: RequestId, code: ResultCode) {
-        out.emit(HostEffect.Refuse(id, code, if (code.httpStatus == UNAVAILABLE) RETRY_AFTER_MILLIS else 0))
-    }
-
     private fun appended(event: HostEvent.Appended) {
         val fault = event.result.leftOrNull() ?: return
         releases(ReleaseEvent.AppendFailed(event.records, mayHaveHappened = fault !is LogFault.RateLimited))
@@ -336,20 +303,14 @@
         keys.revoke(effect.hash)
         out.log(LogEvent.KEY_WITHDRAWN, "key" to effect.hash)
         // A withdrawal that is in the log reaches the other hosts by it.
-        if (!effect.inLog) {
-            members.filter {
-                it.host != self.host
-            }.forEach { send(it, PeerMessage.KeyWithdrawn(effect.hash)) }
-        }
+        val uninformed = if (effect.inLog) emptyList() else members.filter { it.host != self.host }
+        uninformed.forEach { send(it, PeerMessage.KeyWithdrawn(effect.hash)) }
         requests.keyRevoked(effect.hash)
         calls.keyRevoked(effect.hash)
     }
 
-    private fun placementDecided(origin: HostId, placement: PeerMessage.Placement) = if (origin == self.host) {
-        requests.placement(placement.id, placement.attempt, placement.outcome, self.host)
-    } else {
-        toHost(origin, placement)
-    }
+    private fun placementDecided(origin: HostId, placement: PeerMessage.Placement) =
+        if (origin == self.host) message(self, follower.applied, placement) else toHost(origin, placement)
 
     private fun toHost(host: HostId, message: PeerMessage) {
         members.firstOrNull { it.host == host }?.let { send(it, message) }
@@ -430,26 +391,11 @@
 
         override fun settle(id: RequestId, used: Long) = fleet(FleetEvent.Settle(id, used))
 
-        override fun claim(call: RunningCall) {
-            val request = ClaimRequest(
-                organisation = call.organisation ?: OPEN_ORGANISATION,
-                route = call.route.id,
-                idempotencyKey = checkNotNull(call.request.idempotencyKey),
-                requestDigest = call.request.digest,
-            )
-            releases(ReleaseEvent.ClaimRequested(call.request.id, request))
-        }
+        override fun claim(call: RunningCall) =
+            releases(ReleaseEvent.ClaimRequested(call.request.id, call.claimRequest()))
 
         override fun replied(id: RequestId, reply: KeptReply) = releases(ReleaseEvent.ClaimReplied(id, reply))
 
         override fun giveUp(id: RequestId, sent: Boolean) = releases(ReleaseEvent.ClaimGivenUp(id, sent))
     }
-
-    companion object {
-        private const val UNAVAILABLE = 503
-        private const val RETRY_AFTER_MILLIS = 1_000L
-
-        /** Claims on open routes are kept under a name that no organisation can have. */
-        private val OPEN_ORGANISATION = OrganisationId("")
-    }
 }
--- /dev/null
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/Intake.kt
@@ -0,0 +1,59 @@
+package io.anvilvalve.core
+
+import io.anvilvalve.api.id.ModelId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.peer.WorkClass
+import io.anvilvalve.api.release.Release
+import io.anvilvalve.api.result.ResultCode
+
+/** Takes in callers' requests: refuses at once what fails a check, and hands on the rest. */
+internal class Intake(
+    private val out: Outbox,
+    private val admission: Admission,
+    private val drain: Drain,
+    private val release: () -> Release,
+) {
+    /** Hands an accepted request to [accept]. */
+    fun arrived(request: ModelRequest, accept: (RunningRequest) -> Unit) {
+        when (val decision = refusal() ?: admission.check(request, release())) {
+            is Admission.Decision.Refuse -> refuse(request.id, decision.code)
+
+            is Admission.Decision.Accept ->
+                accept(RunningRequest(request, checkNotNull(decision.organisation), out.now))
+        }
+    }
+
+    /** Hands an accepted call to [accept]. */
+    fun arrived(request: ServiceRequest, accept: (RunningCall) -> Unit) {
+        val route = release().routes[request.route]
+        val decision = refusal() ?: if (route == null) {
+            Admission.Decision.Refuse(ResultCode.UNKNOWN_ROUTE)
+        } else {
+            admission.check(request, route)
+        }
+        when (decision) {
+            is Admission.Decision.Refuse -> refuse(request.id, decision.code)
+
+            is Admission.Decision.Accept ->
+                accept(RunningCall(request, checkNotNull(route), decision.organisation, out.now))
+        }
+    }
+
+    private fun refusal(): Admission.Decision? = when {
+        drain.refusesNew -> Admission.Decision.Refuse(ResultCode.DRAINING)
+        release().number.value == 0L -> Admission.Decision.Refuse(ResultCode.NOT_READY)
+        else -> null
+    }
+
+    /** Counts the refusal without the names in the request, which a caller can choose freely. */
+    private fun refuse(id: RequestId, code: ResultCode) {
+        out.emit(HostEffect.Refuse(id, code, if (code.httpStatus == UNAVAILABLE) RETRY_AFTER_MILLIS else 0))
+        out.emit(HostEffect.Measure(RequestSummary(null, UNKNOWN, WorkClass.INTERACTIVE, code)))
+    }
+
+    private companion object {
+        const val UNAVAILABLE = 503
+        const val RETRY_AFTER_MILLIS = 1_000L
+        val UNKNOWN = ModelId("unknown")
+    }
+}
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/ModelRequests.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/ModelRequests.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.core
 
 import arrow.core.Either
+import io.anvilvalve.api.RetryBudget
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.HostId
 import io.anvilvalve.api.id.KeyHash
@@ -51,7 +52,7 @@
 
     fun accept(running: RunningRequest) {
         requests[running.request.id] = running
-        retries.onRequest()
+        retries.firstAttempt()
         links.admit(running, deadline = out.now + ADMISSION_WAIT)
     }
 
@@ -356,26 +357,8 @@
         micros = (out.now - running.stageSince).inWholeMicroseconds,
     )
 
-    private fun measure(running: RunningRequest, code: ResultCode?) {
-        val first = running.firstTokenAt
-        val gaps = running.delivered - 1
-        out.emit(
-            HostEffect.Measure(
-                RequestSummary(
-                    organisation = running.organisation,
-                    model = running.request.model,
-                    workClass = running.request.workClass,
-                    code = code,
-                    tokens = running.delivered,
-                    firstToken = first?.let { it - running.arrivedAt },
-                    meanGap = first?.takeIf { gaps > 0 }?.let { (out.now - it) / gaps },
-                    prefillTokens = running.prefillTokens,
-                    wastedPrefillTokens = minOf(running.wastedPrefillTokens, running.prefillTokens),
-                    refusedWithinRate = code != null && code in WITHIN_RATE,
-                ),
-            ),
-        )
-    }
+    private fun measure(running: RunningRequest, code: ResultCode?) =
+        out.emit(HostEffect.Measure(running.summary(code, out.now)))
 
     companion object {
         val FIRST_TOKEN_TARGET = 1_500.milliseconds
@@ -389,13 +372,5 @@
         const val MAX_ATTEMPTS = 4
 
         private val SPILLED = setOf(ResultCode.DEADLINE_UNREACHABLE, ResultCode.NO_BACKEND_SERVER)
-
-        private val WITHIN_RATE = setOf(
-            ResultCode.TOKENS_UNAVAILABLE,
-            ResultCode.QUEUE_FULL,
-            ResultCode.DEADLINE_UNREACHABLE,
-            ResultCode.NO_BACKEND_SERVER,
-            ResultCode.NOT_CURRENT,
-        )
     }
 }
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningCall.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningCall.kt
@@ -3,6 +3,7 @@
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.OrganisationId
 import io.anvilvalve.api.release.Route
+import io.anvilvalve.rules.release.ClaimRequest
 import kotlin.time.Duration
 
 /** State of one call to a plain service at the host that accepted it. */
@@ -22,4 +23,16 @@
     var charged = false
     var callerGone = false
     val tried = LinkedHashSet<BackendServerId>()
+
+    fun claimRequest() = ClaimRequest(
+        organisation = organisation ?: OPEN_ORGANISATION,
+        route = route.id,
+        idempotencyKey = checkNotNull(request.idempotencyKey),
+        requestDigest = request.digest,
+    )
+
+    private companion object {
+        /** Claims on open routes are kept under a name that no organisation can have. */
+        val OPEN_ORGANISATION = OrganisationId("")
+    }
 }
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningRequest.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/RunningRequest.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.id.OrganisationId
 import io.anvilvalve.api.peer.PlacementOutcome
 import io.anvilvalve.api.port.KvHandle
+import io.anvilvalve.api.result.ResultCode
 import kotlin.time.Duration
 
 /** State of one caller's request to a model at the host that accepted it. */
@@ -43,4 +44,31 @@
         stage = next
         stageSince = now
     }
+
+    /** Result for metrics of a request that ends at [now] with [code], or whole when it is null. */
+    fun summary(code: ResultCode?, now: Duration): RequestSummary {
+        val gaps = delivered - 1
+        return RequestSummary(
+            organisation = organisation,
+            model = request.model,
+            workClass = request.workClass,
+            code = code,
+            tokens = delivered,
+            firstToken = firstTokenAt?.let { it - arrivedAt },
+            meanGap = firstTokenAt?.takeIf { gaps > 0 }?.let { (now - it) / gaps },
+            prefillTokens = prefillTokens,
+            wastedPrefillTokens = minOf(wastedPrefillTokens, prefillTokens),
+            refusedWithinRate = code in WITHIN_RATE,
+        )
+    }
+
+    private companion object {
+        val WITHIN_RATE = setOf(
+            ResultCode.TOKENS_UNAVAILABLE,
+            ResultCode.QUEUE_FULL,
+            ResultCode.DEADLINE_UNREACHABLE,
+            ResultCode.NO_BACKEND_SERVER,
+            ResultCode.NOT_CURRENT,
+        )
+    }
 }
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/ServiceCalls.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/ServiceCalls.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.core
 
 import arrow.core.Either
+import io.anvilvalve.api.RetryBudget
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.KeyHash
 import io.anvilvalve.api.id.ModelId
@@ -41,7 +42,7 @@
 
     fun accept(call: RunningCall) {
         calls[call.request.id] = call
-        retries.onRequest()
+        retries.firstAttempt()
         if (call.organisation == null) proceed(call) else links.admit(call, deadline = out.now + ADMISSION_WAIT)
     }
 
--- a/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
+++ b/anvilvalve-rules-scheduling/src/main/kotlin/io/anvilvalve/rules/scheduling/PoolScheduler.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.rules.scheduling
 
 import io.anvilvalve.api.Reducer
+import io.anvilvalve.api.RetryBudget
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.HostId
 import io.anvilvalve.api.id.ModelId
