Keep usage near quotas in the store for a start of all hosts

Cause: when all processes are killed, what was admitted in the last window is lost. Looking closer, the sliding count covered 7.6 s of an 8 s window: two bursts, one window apart, both fitted in. Change: the host that leads writes usage of organisations over half of their quota to the store, every 0.5 s, and after 0.1 s when it rises by a twentieth; a start reads it before the configuration and counts it as if it was just written. The count keeps the slice that is running besides a whole window, in 32 slices, and its sum is kept. Ruled out: more assumed at a start, because every organisation would be refused for seconds; the wall clock for the age of a record, because clocks are stepped.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateTopic.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateTopic.kt
@@ -10,4 +10,7 @@
 
     /** Entries of the hosts themselves. */
     HOSTS,
+
+    /** What hosts admitted of organisations near their quota, for a start of all hosts at once. */
+    USAGE,
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -77,6 +77,7 @@
         RoutingApi(dialect, upstream, watch, ::bodies, settings.callers.maxRequests, time, loop::post)
     private val orders = OrderSender(client, store, dialect, settings.host.id, loop::post)
     private val metrics = RoutingMetrics({ api.running }, { ready })
+    private val writer = StateWriter(store, events::write)
     private val reader = StateReader(store, ::announce, loop::post)
     private val ticker = Executors.newSingleThreadScheduledExecutor { Thread(it, "tick").apply { isDaemon = true } }
 
@@ -127,6 +128,7 @@
     override fun close() {
         reader.close()
         orders.close()
+        writer.close()
         ticker.shutdownNow()
         callers.stop()
         operations.stop()
@@ -169,6 +171,7 @@
             is RoutingEffect.Draining -> draining(effect.closeIdle)
             is RoutingEffect.TakeFence -> orders.takeFence()
             is RoutingEffect.GiveOrder -> orders.give(effect)
+            is RoutingEffect.PutState -> writer.put(effect)
             is RoutingEffect.Log -> events.write(effect.event, effect.fields)
             is RoutingEffect.Measure -> metrics.count(effect.summary)
             RoutingEffect.Exit -> exit.complete(Unit)
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
@@ -23,7 +23,7 @@
     private val random: Random = Random.Default,
 ) : AutoCloseable {
     private val threads = listOf(
-        Thread({ follow(StateTopic.CONFIGURATION, wait = CONFIGURATION_WAIT, pause = ZERO) }, "read-configuration"),
+        Thread(::followConfiguration, "read-configuration"),
         Thread({ follow(StateTopic.DIRECTORY, wait = ZERO, pause = DIRECTORY_PAUSE) }, "read-directory"),
         Thread(::joinHosts, "read-hosts"),
     )
@@ -35,6 +35,12 @@
 
     override fun close() = threads.forEach(Thread::interrupt)
 
+    /** Usage is read first, because nothing is admitted without a configuration; without an answer it is assumed. */
+    private fun followConfiguration() {
+        post(RoutingEvent.StateRead(StateTopic.USAGE, store.newest(StateTopic.USAGE)))
+        follow(StateTopic.CONFIGURATION, wait = CONFIGURATION_WAIT, pause = ZERO)
+    }
+
     private fun follow(topic: StateTopic, wait: Duration, pause: Duration) = untilClosed {
         var next: Long? = null
         var failures = 0
--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateWriter.kt
@@ -0,0 +1,35 @@
+package io.anvilvalve.host.routing
+
+import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.routing.StateStore
+import io.anvilvalve.rules.routing.RoutingEffect
+import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicReference
+
+/** Writes values to the store on a thread of its own; a value that still waits is replaced by a newer one. */
+internal class StateWriter(private val store: StateStore, private val log: (LogEvent, Map<String, String>) -> Unit) :
+    AutoCloseable {
+    private val thread = Executors.newSingleThreadExecutor { Thread(it, "write-state").apply { isDaemon = true } }
+    private val waiting = AtomicReference<RoutingEffect.PutState?>()
+    private var failing = false
+
+    fun put(value: RoutingEffect.PutState) {
+        if (waiting.getAndSet(value) == null) thread.execute(::writeNewest)
+    }
+
+    override fun close() {
+        thread.shutdownNow()
+    }
+
+    private fun writeNewest() {
+        val value = waiting.getAndSet(null) ?: return
+        val fault = store.put(value.topic, value.key, value.value).leftOrNull()
+        if ((fault != null) == failing) return
+        failing = fault != null
+        if (fault == null) {
+            log(LogEvent.STATE_WRITTEN, mapOf("topic" to value.topic.name))
+        } else {
+            log(LogEvent.STATE_UNWRITTEN, mapOf("topic" to value.topic.name, "reason" to fault.reason))
+        }
+    }
+}
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/OrderDesk.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/OrderDesk.kt
@@ -1,6 +1,5 @@
 package io.anvilvalve.rules.routing
 
-import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.routing.ServiceSpec
 import kotlin.time.Duration
@@ -10,7 +9,6 @@
  * and only while the store shows that it took the newest fencing number.
  */
 internal class OrderDesk(
-    private val self: Member,
     private val out: Outbox,
     private val peers: Peers,
     private val balance: StageBalance,
@@ -29,7 +27,7 @@
     fun tick() {
         balance.tick()
         if (busy || out.now < quietUntil) return
-        if (!isIssuer()) {
+        if (!peers.leads) {
             fence = null
             return
         }
@@ -87,15 +85,7 @@
         balance.next(service)?.let { Order(it, service) }
     }
 
-    /** A host that hears less than half of the others may be cut off, and another host gives the orders. */
-    private fun isIssuer(): Boolean =
-        peers.heardShare > HALF && peers.all.filter(peers::isHeard).all { it.member.host.value > self.host.value }
-
     private fun pause() {
         quietUntil = out.now + RoutingTimes.ORDER_PAUSE
     }
-
-    private companion object {
-        const val HALF = 0.5
-    }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -61,7 +61,17 @@
     /** Share of the hosts that hear each other, this one included. */
     val heardShare: Double get() = (size + 1.0 - silent) / (size + 1)
 
+    /**
+     * Whether this host does what one host does for all: it has the lowest id of those that hear each other. A host that
+     * hears less than half of the others may be cut off, and another host leads.
+     */
+    val leads: Boolean get() = heardShare > HALF && all.filter(::isHeard).all { it.member.host.value > self.host.value }
+
     private fun count() {
         silent = peers.values.count { !isHeard(it) }
     }
+
+    private companion object {
+        const val HALF = 0.5
+    }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
@@ -9,6 +9,7 @@
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.IngressLimits
 import io.anvilvalve.api.routing.Stage
+import io.anvilvalve.api.routing.StateTopic
 import kotlin.time.Duration
 
 /** What the daemon has to do for the routing rules. */
@@ -64,6 +65,9 @@
     /** Takes a fencing number from the store. */
     data object TakeFence : RoutingEffect
 
+    /** Replaces the value of [key] in the store; a newer value may replace this one before it is written. */
+    class PutState(val topic: StateTopic, val key: String, val value: ByteArray) : RoutingEffect
+
     /** Has [server] change to [stage], unless a higher fencing number than [fence] was taken. */
     data class GiveOrder(val server: Backend, val stage: Stage, val fence: Long) : RoutingEffect
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -6,6 +6,7 @@
 import io.anvilvalve.api.peer.PeerFrame
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.routing.RecordedUsage
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StateDecoder
 import kotlin.random.Random
@@ -39,8 +40,9 @@
     private val intake = Intake(out, configuration, quotas, drain, random)
     private val ending = Ending(out, quotas, queues, configuration, random)
     private val requests = Requests(out, placement, loads, retries, queues, ending, balance)
-    private val orders = OrderDesk(self, out, peers, balance, configuration, settings)
+    private val orders = OrderDesk(out, peers, balance, configuration, settings)
     private val state = StateFollower(out, configuration, directory, peers, StateSink())
+    private val usageWriter = UsageWriter(out, peers, quotas)
     private val gossip = Gossip(self, seeds, out, peers) { sequence, heard ->
         PeerMessage.Gossip(
             member = self,
@@ -98,6 +100,7 @@
         state.peerToAsk()?.let {
             gossip.send(it.member, PeerMessage.StateRequest(configuration.offset, directory.offset))
         }
+        usageWriter.tick()
         loads.tick()
         requests.tick()
         if (!drain.active) orders.tick()
@@ -160,6 +163,8 @@
             requests.placeAll()
         }
 
+        override fun usageRead(usage: List<RecordedUsage>) = quotas.restore(usage)
+
         override fun serversChanged() {
             placement.retain()
             requests.placeAll()
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
@@ -33,6 +33,12 @@
     /** The store counts as unreadable after this long without a successful read. */
     val STORE_STALE: Duration = 1500.milliseconds
 
+    /** Shortest interval of the records of usage near a quota, while it rises; the store takes 400 writes a second. */
+    val USAGE_GATHER: Duration = 100.milliseconds
+
+    /** Interval of the records of usage near a quota; what is admitted in between is unknown after a start. */
+    val USAGE_INTERVAL: Duration = 500.milliseconds
+
     /** Interval at which state is asked of a peer while the store is unreadable. */
     val PEER_READ_INTERVAL: Duration = 500.milliseconds
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuota.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuota.kt
@@ -2,6 +2,7 @@
 
 import io.anvilvalve.api.id.OrganisationId
 import io.anvilvalve.api.routing.OrganisationRule
+import io.anvilvalve.api.routing.RecordedUsage
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
@@ -13,7 +14,12 @@
  * the operators allow is used, and the rest covers reports under way. A silent host may admit as well: every host keeps
  * to the share of the hosts that hear each other.
  */
-internal class SharedQuota(rule: OrganisationRule, private val terms: QuotaTerms, now: Duration) {
+internal class SharedQuota(
+    rule: OrganisationRule,
+    private val terms: QuotaTerms,
+    now: Duration,
+    recorded: RecordedUsage? = null,
+) {
     private var rule = rule
     private val used = SlidingCount(terms.window)
 
@@ -21,11 +27,15 @@
     var admitted: Long = 0
         private set
 
+    /** Lowest usage since the last record. */
+    private var lowest = 0.0
+
     val id: OrganisationId = rule.id
 
     init {
         // All hosts may have been restarted at once, and what they admitted before still counts.
-        used.spread(limit * ASSUMED_SHARE, now)
+        recorded?.let { restore(it.slices, now) }
+        used.spread((limit * ASSUMED_SHARE - used.sum(now)).coerceAtLeast(0.0), now)
     }
 
     private val limit: Double
@@ -38,6 +48,23 @@
     /** Tokens that all hosts admitted in the window, as far as they are known. */
     fun used(now: Duration): Long = used.sum(now).toLong()
 
+    /** Whether a start that only assumes usage could exceed the quota. */
+    fun isNear(now: Duration): Boolean = limit > 0.0 && used.sum(now) > limit * NEAR_SHARE
+
+    /** Whether usage near the quota has risen much since [recorded], so that the record is to be replaced at once. */
+    fun hasRisen(now: Duration): Boolean {
+        lowest = minOf(lowest, used.sum(now))
+        return isNear(now) && used.sum(now) - lowest > limit * RISE_SHARE
+    }
+
+    /** What is to be written to the store. */
+    fun record(now: Duration) = RecordedUsage(id, used.slices(now))
+
+    /** Notes that a record of the usage at [now] is being written. */
+    fun recorded(now: Duration) {
+        lowest = used.sum(now)
+    }
+
     /** Takes [cost] tokens; false when there are too few for [share] of the hosts. */
     fun take(cost: Int, share: Double, now: Duration): Boolean {
         if (limit <= 0.0) return true
@@ -66,6 +93,16 @@
         used.spread(known.toDouble(), now)
     }
 
+    /**
+     * Counts [slices] of a record as if it had been written now. What was admitted after it was written is unknown and
+     * counts as much as the time before, up to the quota.
+     */
+    private fun restore(slices: List<Long>, now: Duration) {
+        used.restore(slices, now)
+        val unrecorded = slices.take(UNRECORDED_SLICES).sum().toDouble()
+        used.add(minOf(unrecorded, (limit - used.sum(now)).coerceAtLeast(0.0)), now)
+    }
+
     private fun add(tokens: Double, now: Duration) {
         used.add(tokens, now)
         admitted += tokens.toLong()
@@ -79,6 +116,15 @@
         /** A start takes two seconds or more, in which a part of the window passes; 0.65 exceeded the quota of a window. */
         const val ASSUMED_SHARE = 0.8
 
+        /** What is assumed at a start covers smaller usage. */
+        const val NEAR_SHARE = 0.5
+
+        /** Half of what the slack leaves over at the largest quotas. */
+        const val RISE_SHARE = 0.05
+
+        /** Slices of a 32nd of the window; three cover the interval of the records and a late report. */
+        const val UNRECORDED_SLICES = 3
+
         /** The rest covers what both sides of a cut admit in the second before they notice it. */
         const val USED_SLACK = 0.3
         val SHORTEST_WAIT = 200.milliseconds
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuotas.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuotas.kt
@@ -3,7 +3,9 @@
 import io.anvilvalve.api.id.OrganisationId
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.peer.SharedUsage
+import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.routing.OrganisationRule
+import io.anvilvalve.api.routing.RecordedUsage
 import kotlin.time.Duration
 
 /** The quotas of all organisations. */
@@ -15,6 +17,7 @@
 
     private var startedAt: Duration? = null
     private var adopted = false
+    private var recorded = emptyMap<OrganisationId, RecordedUsage>()
 
     /** Whether this host knows what was admitted in a whole window. */
     val settled: Boolean
@@ -25,8 +28,36 @@
         if (startedAt == null) startedAt = out.now
         for (rule in rules) {
             val known = quotas[rule.id]
-            if (known == null) quotas[rule.id] = SharedQuota(rule, terms, out.now) else known.change(rule)
+            if (known == null) {
+                quotas[rule.id] = SharedQuota(rule, terms, out.now, recorded[rule.id])
+            } else {
+                known.change(rule)
+            }
         }
+        recorded = emptyMap()
+    }
+
+    /** Takes over what the store holds of the time before this start; it has to come before the configuration. */
+    fun restore(usage: List<RecordedUsage>) {
+        if (startedAt != null || usage.isEmpty()) return
+        recorded = usage.associateBy { it.organisation }
+        out.log(
+            LogEvent.USAGE_RESTORED,
+            "organisations" to usage.size,
+            "tokens" to usage.sumOf { it.slices.sum() },
+        )
+    }
+
+    /** Whether the usage of an organisation has risen much since the last [records]. */
+    fun haveRisen(): Boolean = quotas.values.any { it.hasRisen(out.now) }
+
+    /** Usage of the largest organisations that are near their quota, to be written to the store now. */
+    fun records(): List<RecordedUsage> {
+        quotas.values.forEach { it.recorded(out.now) }
+        return quotas.values.filter { it.isNear(out.now) }
+            .sortedByDescending { it.used(out.now) }
+            .take(MAX_RECORDS)
+            .map { it.record(out.now) }
     }
 
     /** Takes [cost] tokens of [id]; null when it was done, otherwise the time until it can be. */
@@ -57,4 +88,9 @@
             quotas[now.organisation]?.peerAdmitted(now.admitted - known, out.now)
         }
     }
+
+    private companion object {
+        /** A record of 60 organisations has about 8 KB; the slack covers the smaller quotas. */
+        const val MAX_RECORDS = 60
+    }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SlidingCount.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SlidingCount.kt
@@ -2,43 +2,71 @@
 
 import kotlin.time.Duration
 
-/** Counts what happened in the last [window], in [SLICES] slices. */
+/**
+ * Counts what happened in the last [window] and up to one slice before it, so that no window of that length holds more
+ * than was counted.
+ */
 internal class SlidingCount(window: Duration) {
-    private val slice = window / SLICES
+    private val slice = window / (SLICES - 1)
     private val counts = DoubleArray(SLICES)
     private var current = 0L
+    private var total = 0.0
 
     fun add(amount: Double, now: Duration) {
         advance(now)
-        counts[(current % SLICES).toInt()] += amount
+        addTo(current, amount)
     }
 
     /** Adds [amount] as if it had happened evenly over the window. */
     fun spread(amount: Double, now: Duration) {
         advance(now)
-        for (i in counts.indices) counts[i] += amount / SLICES
+        for (age in 0 until SLICES) addTo(current - age, amount / SLICES)
     }
 
-    fun clear() = counts.fill(0.0)
+    /** Adds amounts of slices, the newest first, as if the newest were the current one. */
+    fun restore(amounts: List<Long>, now: Duration) {
+        advance(now)
+        amounts.take(SLICES).forEachIndexed { age, amount -> addTo(current - age, amount.toDouble()) }
+    }
+
+    /** Amounts of the slices, the newest first. */
+    fun slices(now: Duration): List<Long> {
+        advance(now)
+        return (0 until SLICES).map { age -> counts[slot(current - age)].toLong() }
+    }
+
+    fun clear() {
+        counts.fill(0.0)
+        total = 0.0
+    }
 
     fun sum(now: Duration): Double {
         advance(now)
-        return counts.sum()
+        return total
     }
 
     private fun advance(now: Duration) {
         val slot = (now / slice).toLong()
         if (slot - current >= SLICES) {
-            counts.fill(0.0)
+            clear()
             current = slot
         }
         while (current < slot) {
             current++
-            counts[(current % SLICES).toInt()] = 0.0
+            total -= counts[slot(current)]
+            counts[slot(current)] = 0.0
         }
     }
 
+    private fun addTo(number: Long, amount: Double) {
+        counts[slot(number)] += amount
+        total += amount
+    }
+
+    private fun slot(number: Long): Int = number.mod(SLICES)
+
     private companion object {
-        const val SLICES = 20
+        /** The current slice and 32 whole ones; 19 whole ones of 20 let two bursts into one window. */
+        const val SLICES = 33
     }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -5,11 +5,13 @@
 import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.routing.RecordedUsage
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StatePage
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StoreFault
 import io.anvilvalve.api.routing.StoredEntry
+import kotlinx.serialization.builtins.ListSerializer
 import kotlin.time.Duration
 
 /** Takes in what the store holds, from the store itself or from peers while it does not answer this host. */
@@ -25,6 +27,8 @@
         fun configured(configuration: RoutingConfiguration)
 
         fun serversChanged()
+
+        fun usageRead(usage: List<RecordedUsage>)
     }
 
     private class Source {
@@ -78,6 +82,8 @@
                 if (directory.apply(page.entries, page.complete, page.next, grace())) sink.serversChanged()
 
             StateTopic.HOSTS -> page.entries.forEach(::host)
+
+            StateTopic.USAGE -> page.entries.forEach(::usage)
         }
     }
 
@@ -109,6 +115,14 @@
         )
     }
 
+    private fun usage(entry: StoredEntry) {
+        val value = entry.value ?: return
+        BinaryCodec.decode(ListSerializer(RecordedUsage.serializer()), value).fold(
+            { out.log(LogEvent.ENTRY_UNREADABLE, "usage" to entry.key, "reason" to it) },
+            sink::usageRead,
+        )
+    }
+
     private fun lost(topic: StateTopic, fault: StoreFault) {
         val source = sources.getValue(topic)
         if (source.lostAt != null) return
--- /dev/null
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/UsageWriter.kt
@@ -0,0 +1,29 @@
+package io.anvilvalve.rules.routing
+
+import io.anvilvalve.api.BinaryCodec
+import io.anvilvalve.api.routing.RecordedUsage
+import io.anvilvalve.api.routing.StateTopic
+import kotlinx.serialization.builtins.ListSerializer
+import kotlin.time.Duration
+
+/** Has one host of all write usage near quotas to the store, where a start of all hosts finds it. */
+internal class UsageWriter(private val out: Outbox, private val peers: Peers, private val quotas: SharedQuotas) {
+    private var writtenAt: Duration? = null
+    private var empty = true
+
+    fun tick() {
+        val since = writtenAt?.let { out.now - it } ?: Duration.INFINITE
+        if (since < RoutingTimes.USAGE_GATHER || !peers.leads) return
+        if (since < RoutingTimes.USAGE_INTERVAL && !quotas.haveRisen()) return
+        val records = quotas.records()
+        if (records.isEmpty() && empty) return
+        writtenAt = out.now
+        empty = records.isEmpty()
+        val value = BinaryCodec.encode(ListSerializer(RecordedUsage.serializer()), records)
+        out.emit(RoutingEffect.PutState(StateTopic.USAGE, KEY, value))
+    }
+
+    private companion object {
+        const val KEY = "near-quota"
+    }
+}
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/QuotaWorld.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/QuotaWorld.kt
@@ -11,7 +11,15 @@
  *
  * A tenth of their messages is lost, one host is cut off for a while, and all of them restart in the middle.
  */
-internal class QuotaWorld(seed: Long, private val size: Size) {
+internal class QuotaWorld(seed: Long, private val size: Size, demand: Demand) {
+    /** When the organisation asks for the multiple of its quota. */
+    enum class Demand {
+        STEADY,
+
+        /** From at most four seconds before the restart on; before, a tenth of it. */
+        LATE,
+    }
+
     /** A quota, the cost of a request, and how many requests a host gets in a hundred steps. */
     enum class Size(val ratePerSecond: Double, val burst: Double, val cost: Int, val requests: Int) {
         /** The slack is as large as the quota of a window; thirty times the rate is asked for. */
@@ -30,7 +38,9 @@
 
     private val random = Random(seed)
     private val cutOff = 1 + random.nextInt(HOSTS)
+    private val highFrom = if (demand == Demand.LATE) DOWN.first - 10 - random.nextInt(LATEST_STEPS) else 0
     private var now: Duration = 1.seconds
+    private var stored: RoutingEffect.PutState? = null
     private var hosts = start(incarnation = 1)
 
     /** Most tokens that were admitted in any window. */
@@ -44,17 +54,20 @@
         if (step in DOWN) return 0
         if (step == DOWN.last + 1) hosts = start(incarnation = 2)
         hosts.forEach { it.now = now }
-        val effects = hosts.associateWith { it.send(RoutingEvent.Tick) + arrivals(it) }
+        val effects = hosts.associateWith { it.send(RoutingEvent.Tick) + arrivals(it, step) }
         val cut = step in CUT
         effects.forEach { (from, sent) -> deliver(from, sent, cut) }
+        effects.values.flatten().filterIsInstance<RoutingEffect.PutState>().lastOrNull()?.let { stored = it }
         return effects.values.flatten().count { it is RoutingEffect.Forward } * size.cost
     }
 
-    private fun arrivals(host: RoutingFixture): List<RoutingEffect> =
-        (0 until arrivalCount()).flatMap { host.arrive("/drawers/1", size.cost, 0).effects }
+    private fun arrivals(host: RoutingFixture, step: Int): List<RoutingEffect> =
+        (0 until arrivalCount(if (step < highFrom) LOW_DIVISOR else 1))
+            .flatMap { host.arrive("/drawers/1", size.cost, 0).effects }
 
     /** Zero, one or two, so that requests also come together. */
-    private fun arrivalCount(): Int = (1..2).count { random.nextInt(2 * STEPS_PER_COUNT) < size.requests }
+    private fun arrivalCount(divisor: Int): Int =
+        (1..2).count { random.nextInt(2 * STEPS_PER_COUNT * divisor) < size.requests }
 
     private fun deliver(from: RoutingFixture, sent: List<RoutingEffect>, cut: Boolean) {
         for (frame in sent.filterIsInstance<RoutingEffect.SendFrame>()) {
@@ -73,6 +86,7 @@
                 configuration = configuration(1, size.ratePerSecond, size.burst),
                 backends = listOf(plain("p", slots = 1_000_000)),
                 now = now,
+                usage = stored?.value,
             )
         }
         // The store names the hosts to each other before the first request.
@@ -88,6 +102,7 @@
         private const val WINDOW_SECONDS = 8
         private const val STEPS_PER_COUNT = 100
         private const val LOSS = 10
+        private const val LOW_DIVISOR = 10
         private const val STEPS = 1_200
         private val STEP = 25.milliseconds
         private const val WINDOW_STEPS = WINDOW_SECONDS * 40
@@ -95,5 +110,6 @@
 
         /** All processes are down for 2 s; the platform starts them again no sooner. */
         private val DOWN = 600 until 680
+        private const val LATEST_STEPS = 150
     }
 }
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
@@ -121,6 +121,7 @@
     backends: List<Backend> = listOf(plain("p1"), plain("p2")),
     settings: RoutingSettings = RoutingSettings(),
     var now: Duration = 1.seconds,
+    usage: ByteArray? = null,
 ) {
     private val decoder = TableDecoder()
     private val reducer = RoutingReducer(self, decoder, settings, seed = 7)
@@ -131,6 +132,7 @@
     val effects = ArrayList<RoutingEffect>()
 
     init {
+        usage?.let { read(StateTopic.USAGE, listOf(StoredEntry("usage", offset++, it))) }
         read(StateTopic.CONFIGURATION, listOf(entry("config", configuration)))
         read(StateTopic.DIRECTORY, backends.map { entry(it.id.value, it) })
     }
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/SharedStateSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/SharedStateSpec.kt
@@ -1,11 +1,13 @@
 package io.anvilvalve.rules.routing
 
+import io.anvilvalve.api.BinaryCodec
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.peer.SharedLoad
 import io.anvilvalve.api.peer.SharedUsage
 import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.api.routing.RecordedUsage
 import io.anvilvalve.api.routing.StateTopic
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
@@ -13,6 +15,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
+import kotlinx.serialization.builtins.ListSerializer
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,15 +43,58 @@
     FunSpec({
         val peer = member("h2")
 
-        QuotaWorld.Size.entries.forEach { size ->
-            test("no window of a $size quota is exceeded by all hosts, whatever is lost, late or restarted") {
-                for (seed in 1L..20L) {
-                    val most = QuotaWorld(seed, size).mostInWindow()
-                    withClue("seed $seed") { most shouldBeLessThanOrEqualTo size.ceiling }
+        for (size in QuotaWorld.Size.entries) {
+            for (demand in QuotaWorld.Demand.entries) {
+                test("no window of a $size quota is exceeded with $demand demand, whatever is lost or restarted") {
+                    for (seed in 1L..200L) {
+                        val most = QuotaWorld(seed, size, demand).mostInWindow()
+                        withClue("seed $seed") { most shouldBeLessThanOrEqualTo size.ceiling }
+                    }
                 }
             }
         }
 
+        test("the host that leads writes usage near a quota, and nothing else is written") {
+            data class Case(val name: String, val peer: String, val requests: Int, val written: Boolean)
+            listOf(
+                Case("over half of the quota", peer = "h2", requests = 4, written = true),
+                Case("below half of the quota", peer = "h2", requests = 2, written = false),
+                Case("another host leads", peer = "h0", requests = 4, written = false),
+            ).forEach { case ->
+                withClue(case.name) {
+                    val host = RoutingFixture(configuration = configuration(1, 10_000.0, 20_000.0))
+                    host.pass(10.seconds)
+                    host.hear(member(case.peer), gossip(member(case.peer), 1))
+                    host.pass(600.milliseconds)
+                    host.effects.clear()
+                    repeat(case.requests) { host.arrive("/drawers/$it", 15_000, 0) }
+                    host.pass(150.milliseconds)
+                    val written = host.effects.filterIsInstance<RoutingEffect.PutState>().lastOrNull()
+                    val records = written?.let {
+                        BinaryCodec.decode(ListSerializer(RecordedUsage.serializer()), it.value).getOrNull()
+                    }
+                    records.orEmpty().sumOf { it.slices.sum() } shouldBe if (case.written) 60_000 else 0
+                }
+            }
+        }
+
+        test("a start counts what the store says of the time before it, and assumes the rest") {
+            fun admittedAtStart(usage: ByteArray?): Int {
+                val host = RoutingFixture(
+                    configuration = configuration(1, 100_000.0, 200_000.0),
+                    backends = listOf(plain("p", slots = 100_000)),
+                    usage = usage,
+                )
+                return (1..2_000).count {
+                    host.arrive("/drawers/$it", 1_000, 0).effects.any { e -> e is RoutingEffect.Forward }
+                }
+            }
+            val full = listOf(RecordedUsage(drawers, slices = listOf(0, 0, 0, 0, 1_000_000)))
+            val assumed = admittedAtStart(usage = null)
+            admittedAtStart(BinaryCodec.encode(ListSerializer(RecordedUsage.serializer()), full)) shouldBe assumed - 200
+            withClue("a record that does not decode") { admittedAtStart(byteArrayOf(1, 2)) shouldBe assumed }
+        }
+
         test("a host that hears nobody keeps to its share") {
             fun admittedBy(peers: Int): Int {
                 val host =
