--- /dev/null
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/StateWriterSpec.kt
@@ -0,0 +1,74 @@
+package io.anvilvalve.host.routing
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.routing.StatePage
+import io.anvilvalve.api.routing.StateStore
+import io.anvilvalve.api.routing.StateTopic
+import io.anvilvalve.api.routing.StoreFault
+import io.anvilvalve.rules.routing.RoutingEffect
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** A store whose puts wait for the answer that the test gives. */
+private class ManualStore : StateStore {
+    val started = LinkedBlockingQueue<String>()
+    val answers = LinkedBlockingQueue<Either<StoreFault, Unit>>()
+
+    override fun put(topic: StateTopic, key: String, value: ByteArray): Either<StoreFault, Unit> {
+        started.put(value.decodeToString())
+        return answers.take()
+    }
+
+    override fun newest(topic: StateTopic): Either<StoreFault, StatePage> = error("not called")
+
+    override fun read(topic: StateTopic, from: Long, wait: Duration): Either<StoreFault, StatePage> =
+        error("not called")
+
+    override fun takeFence(holder: String): Either<StoreFault, Long> = error("not called")
+
+    override fun isNewestFence(fence: Long): Either<StoreFault, Boolean> = error("not called")
+}
+
+/** Guards writes to a slow store against a growing queue, and faults against silence. */
+class StateWriterSpec :
+    FunSpec({
+        fun value(text: String) = RoutingEffect.PutState(StateTopic.USAGE, "key", text.toByteArray())
+
+        fun <T> LinkedBlockingQueue<T>.next(): T = checkNotNull(poll(20, TimeUnit.SECONDS)) { "nothing came" }
+
+        test("a value that waits for a slow store is replaced by a newer one") {
+            val store = ManualStore()
+            StateWriter(store) { _, _ -> }.use { writer ->
+                writer.put(value("1"))
+                store.started.next() shouldBe "1"
+                (2..50).forEach { writer.put(value("$it")) }
+                store.answers.put(Unit.right())
+                store.started.next() shouldBe "50"
+                store.answers.put(Unit.right())
+            }
+        }
+
+        test("the first fault and the first success after it are logged") {
+            val store = ManualStore()
+            val events = LinkedBlockingQueue<LogEvent>()
+            StateWriter(store) { event, _ -> events.put(event) }.use { writer ->
+                val fault = StoreFault("busy").left()
+                listOf(Unit.right(), fault, fault, Unit.right(), Unit.right()).forEachIndexed { index, answer ->
+                    store.answers.put(answer)
+                    writer.put(value("$index"))
+                    store.started.next() shouldBe "$index"
+                }
+                writer.put(value("last"))
+                store.started.next()
+                events.toList() shouldContainExactly listOf(LogEvent.STATE_UNWRITTEN, LogEvent.STATE_WRITTEN)
+                store.answers.put(Unit.right())
+            }
+        }
+    })
