--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
@@ -144,7 +144,7 @@
     data class ClaimBatch(@CborLabel(1) val claims: List<Claim>) : PeerMessage
 
     /**
-     * State that a host shares with all hosts; each message replaces the previous one of the same host.
+     * State that a host shares with all hosts, or with the coordinators of a large fleet; each message replaces the previous one of the same host.
      *
      * @property member the sender, so that hosts discover each other without the store.
      * @property sequence number of the message; incremented by one per message.
@@ -154,6 +154,9 @@
      * @property settled whether the sender knows the admissions of a complete quota window.
      * @property changing engines that are changing their stage and accept no work.
      * @property directory store offset up to which the sender knows the backend servers, or -1.
+     * @property outcomes calls to backend servers that ended since the previous message.
+     * @property grants grants of coordinators that [loads] includes.
+     * @property isReport whether the sender sends this message to the coordinators only.
      */
     @Serializable
     @SerialName("go")
@@ -169,6 +172,9 @@
         @CborLabel(11) val unreachable: List<BackendServerId> = emptyList(),
         @CborLabel(10) val settled: Boolean = false,
         @CborLabel(9) val changing: List<BackendServerId> = emptyList(),
+        @CborLabel(12) val outcomes: List<ServerOutcome> = emptyList(),
+        @CborLabel(13) val grants: List<GrantsSeen> = emptyList(),
+        @CborLabel(14) val isReport: Boolean = false,
     ) : PeerMessage
 
     /** Asks for entries of the store that are newer than the offsets that the sender knows. */
--- /dev/null
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PlacementMessage.kt
@@ -0,0 +1,78 @@
+package io.anvilvalve.api.peer
+
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.routing.ServiceId
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/** Messages by which a coordinator selects backend servers for the requests of other hosts. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+sealed interface PlacementMessage : PeerMessage {
+    /** Identifies the request among those of the host that asks. */
+    val number: Long
+
+    /**
+     * Asks for a backend server of [service].
+     *
+     * @property waitedMillis time since the request arrived, in milliseconds.
+     * @property agedMillis time since the caller's first attempt, in milliseconds; it determines the queue order.
+     * @property objectiveMillis time left until the route's objective, in milliseconds; negative if it has passed.
+     * @property returned whether the caller was refused before and has come back.
+     * @property memoryTokens engine memory that the request needs, in tokens.
+     * @property promptTokens prompt tokens to prefill; 0 if no prefill is needed.
+     * @property avoided servers that must not be selected.
+     */
+    @Serializable
+    @SerialName("mr")
+    data class Request(
+        @CborLabel(1) override val number: Long,
+        @CborLabel(2) val service: ServiceId,
+        @CborLabel(3) val urgency: Int,
+        @CborLabel(4) val waitedMillis: Long,
+        @CborLabel(5) val agedMillis: Long,
+        @CborLabel(6) val objectiveMillis: Long,
+        @CborLabel(7) val returned: Boolean,
+        @CborLabel(8) val memoryTokens: Int,
+        @CborLabel(9) val promptTokens: Int,
+        @CborLabel(10) val avoided: List<BackendServerId> = emptyList(),
+    ) : PlacementMessage
+
+    /** The request waits for capacity. */
+    @Serializable
+    @SerialName("mq")
+    data class Queued(@CborLabel(1) override val number: Long) : PlacementMessage
+
+    /**
+     * Grants capacity at [server], and at [prefill] for the prompt; without [prefill], [server] processes the prompt.
+     *
+     * @property grant number of the grant; the numbers of a coordinator increase.
+     * @property tokensAhead prompt tokens queued at [prefill] ahead of this prompt.
+     */
+    @Serializable
+    @SerialName("mg")
+    data class Placed(
+        @CborLabel(1) override val number: Long,
+        @CborLabel(2) val grant: Long,
+        @CborLabel(3) val server: BackendServerId,
+        @CborLabel(4) val prefill: BackendServerId? = null,
+        @CborLabel(5) val tokensAhead: Int = 0,
+    ) : PlacementMessage
+
+    /** The request cannot be placed in time; [waitMillis] is the expected time until it could be, in milliseconds. */
+    @Serializable
+    @SerialName("mx")
+    data class Refused(@CborLabel(1) override val number: Long, @CborLabel(2) val waitMillis: Long) : PlacementMessage
+
+    /** The receiver of the request does not place requests for others. */
+    @Serializable
+    @SerialName("md")
+    data class Declined(@CborLabel(1) override val number: Long) : PlacementMessage
+
+    /** The request needs no capacity any more. */
+    @Serializable
+    @SerialName("mc")
+    data class Cancelled(@CborLabel(1) override val number: Long) : PlacementMessage
+}
--- a/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
+++ b/anvilvalve-core/src/main/kotlin/io/anvilvalve/core/HostReducer.kt
@@ -10,8 +10,10 @@
 import io.anvilvalve.api.log.KeptReply
 import io.anvilvalve.api.log.LogRecord
 import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.FleetSummary
 import io.anvilvalve.api.peer.PeerFrame
 import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.peer.PlacementMessage
 import io.anvilvalve.api.port.LogFault
 import io.anvilvalve.api.release.BackendServer
 import io.anvilvalve.api.release.Release
@@ -168,7 +170,9 @@
             is PeerMessage.Submit, is PeerMessage.WorkProgress, is PeerMessage.WorkRunning -> ownedPools.handle(message)
 
             // Sent only among hosts that route by a configuration in the platform's store; ignored here.
-            is PeerMessage.Gossip, is PeerMessage.StateRequest, is PeerMessage.SharedState -> Unit
+            is PeerMessage.Gossip, is PeerMessage.StateRequest, is PeerMessage.SharedState,
+            is FleetSummary, is PlacementMessage,
+            -> Unit
         }
     }
 
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -62,6 +62,7 @@
         settings.peers.listen.toString(),
         DataCentreId(settings.host.dataCentre),
         RegionId(settings.host.region),
+        settings.host.capacity,
     )
     private val events = EventLog(settings.host.id, settings.output.format, clock)
     private val watch = CallerWatch(WATCH_INTERVAL)
@@ -176,6 +177,8 @@
             is RoutingEffect.AcquireFencingToken -> orders.acquireFencingToken()
             is RoutingEffect.SendOrder -> orders.submit(effect)
             is RoutingEffect.PutState -> writer.put(effect)
+            is RoutingEffect.FollowStore -> reader.follow(effect.active, effect.wait)
+            RoutingEffect.ReadHosts -> reader.readHosts()
             is RoutingEffect.Log -> events.write(effect.event, effect.fields)
             is RoutingEffect.Measure -> metrics.record(effect.summary)
             RoutingEffect.Exit -> exit.complete(Unit)
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
@@ -6,6 +6,9 @@
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StoreFault
 import io.anvilvalve.rules.routing.RoutingEvent
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
@@ -24,15 +27,36 @@
 ) : AutoCloseable {
     private val threads = listOf(
         Thread(::followConfiguration, "read-configuration"),
-        Thread({ follow(StateTopic.DIRECTORY, wait = ZERO, pause = DIRECTORY_PAUSE) }, "read-directory"),
+        Thread({ follow(StateTopic.DIRECTORY, wait = { ZERO }, pause = DIRECTORY_PAUSE) }, "read-directory"),
         Thread(::joinHosts, "read-hosts"),
     )
+    private val lock = ReentrantLock()
+    private val followingChanged = lock.newCondition()
+    private val hostReads = LinkedBlockingQueue<Unit>()
+    private var following = true
+
+    @Volatile
+    private var configurationWait = 1_200.milliseconds
 
     fun start() = threads.forEach {
         it.isDaemon = true
         it.start()
     }
 
+    /** Follows the store from now on if [active]; reads for a new configuration wait up to [wait]. */
+    fun follow(active: Boolean, wait: Duration) {
+        configurationWait = wait
+        lock.withLock {
+            following = active
+            followingChanged.signalAll()
+        }
+    }
+
+    /** Reads the list of hosts again, unless a read is outstanding. */
+    fun readHosts() {
+        if (hostReads.isEmpty()) hostReads.add(Unit)
+    }
+
     override fun close() = threads.forEach(Thread::interrupt)
 
     /**
@@ -42,15 +66,17 @@
      */
     private fun followConfiguration() {
         post(RoutingEvent.StateRead(StateTopic.USAGE, store.newest(StateTopic.USAGE)))
-        follow(StateTopic.CONFIGURATION, wait = CONFIGURATION_WAIT, pause = ZERO)
+        follow(StateTopic.CONFIGURATION, wait = { configurationWait }, pause = ZERO)
     }
 
-    private fun follow(topic: StateTopic, wait: Duration, pause: Duration) = untilClosed {
+    private fun follow(topic: StateTopic, wait: () -> Duration, pause: Duration) = untilClosed {
         var next: Long? = null
         var failures = 0
         while (true) {
+            // What changed while this host did not follow the store may have been deleted from its history.
+            if (next != null && waitUntilFollowing()) next = null
             val from = next
-            val result = if (from == null) store.newest(topic) else store.read(topic, from, wait)
+            val result = if (from == null) store.newest(topic) else store.read(topic, from, wait())
             post(RoutingEvent.StateRead(topic, result))
             result.fold(
                 {
@@ -70,6 +96,17 @@
     private fun joinHosts() = untilClosed {
         retry { announce() }
         retry { store.newest(StateTopic.HOSTS).onRight { post(hostsRead(it)) } }
+        while (true) {
+            hostReads.take()
+            store.newest(StateTopic.HOSTS).onRight { post(hostsRead(it)) }
+        }
+    }
+
+    /** Waits until this host follows the store; returns whether it had to wait. */
+    private fun waitUntilFollowing(): Boolean = lock.withLock {
+        val waited = !following
+        while (!following) followingChanged.await()
+        waited
     }
 
     private fun hostsRead(page: StatePage) = RoutingEvent.StateRead(StateTopic.HOSTS, Either.Right(page))
@@ -95,9 +132,6 @@
     }
 
     private companion object {
-        /** Changes must take effect within 2 s; a longer wait would detect a dead connection too late. */
-        val CONFIGURATION_WAIT = 1_200.milliseconds
-
         /**
          * Departures of backend servers must be known within 2 s.
          *
--- /dev/null
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DelegatedPlacement.kt
@@ -0,0 +1,111 @@
+package io.anvilvalve.rules.routing
+
+import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.GrantsSeen
+import io.anvilvalve.api.peer.PlacementMessage
+import io.anvilvalve.api.result.LogEvent
+
+/**
+ * Asks a coordinator where to place this host's requests.
+ *
+ * A coordinator that does not answer within [RoutingTimes.PLACEMENT_TIMEOUT], or falls silent while requests wait
+ * there, is not asked for some time. The next one is asked about the request, and if that does not answer either, this
+ * host places the request by what it knows. A late grant has no effect: it expires when a report confirms it.
+ *
+ * @param firstNumber number before the first question; another one at every start, so that answers to an earlier
+ * incarnation of this host are not mistaken for current ones.
+ */
+internal class DelegatedPlacement(
+    private val out: Outbox,
+    private val coordinators: Coordinators,
+    private val placement: Placement,
+    firstNumber: Long,
+    private val send: (Member, PlacementMessage) -> Unit,
+) {
+    private val asked = LinkedHashMap<Long, LiveRequest>()
+    private val grants = HashMap<HostId, GrantsSeen>()
+    private var lastNumber = firstNumber
+
+    /** Latest grants received, for reports. */
+    val grantsSeen: List<GrantsSeen> get() = grants.values.toList()
+
+    /** Whether a coordinator should be asked about [request]. */
+    fun mayAsk(request: LiveRequest): Boolean = request.unansweredQuestions < MAX_UNANSWERED
+
+    /** Asks [to] to place [request]. */
+    fun ask(request: LiveRequest, to: Member) {
+        val delegation = Delegation(to, ++lastNumber, out.now)
+        request.delegation = delegation
+        asked[delegation.number] = request
+        val isPrefilled = request.source != null && out.now < request.sourceExpiresAt
+        val needsPrefill = request.service.engine != null && !isPrefilled
+        send(
+            to,
+            PlacementMessage.Request(
+                number = delegation.number,
+                service = request.service.id,
+                urgency = request.urgency,
+                waitedMillis = (out.now - request.waitingSince).inWholeMilliseconds,
+                agedMillis = (out.now - request.firstTriedAt).inWholeMilliseconds,
+                objectiveMillis = (request.objectiveAt - out.now).inWholeMilliseconds,
+                returned = request.isCallerRetry,
+                memoryTokens = request.memoryTokens,
+                promptTokens = if (needsPrefill) request.promptTokens else 0,
+                avoided = (request.triedServers + placement.unreachable()).toList(),
+            ),
+        )
+    }
+
+    /** Withdraws the question about [request], if one is open. */
+    fun cancel(request: LiveRequest) {
+        val delegation = request.delegation ?: return
+        forget(request)
+        send(delegation.to, PlacementMessage.Cancelled(delegation.number))
+    }
+
+    fun queued(from: HostId, message: PlacementMessage.Queued) {
+        asked[message.number]?.delegation?.takeIf { it.to.host == from }?.isQueued = true
+    }
+
+    /** Records a grant; returns the request that it is for, or null if the request does not wait for it any more. */
+    fun granted(from: HostId, incarnation: Incarnation, message: PlacementMessage.Placed): LiveRequest? {
+        grants[from] = GrantsSeen(incarnation, message.grant)
+        return take(from, message)
+    }
+
+    /** Closes the question that [message] answers; returns its request, or null if the question is not open. */
+    fun take(from: HostId, message: PlacementMessage): LiveRequest? =
+        asked[message.number]?.takeIf { it.delegation?.to?.host == from }?.also(::forget)
+
+    /** Withdraws questions that are not answered; returns the requests that must be placed in another way. */
+    fun tick(): List<LiveRequest> {
+        val lost = asked.values.filter(::isUnanswered)
+        for (request in lost) {
+            val to = checkNotNull(request.delegation).to
+            if (coordinators.isAvailable(to.host)) {
+                out.log(LogEvent.PLACEMENT_UNANSWERED, "coordinator" to to.incarnation, "request" to request.id)
+                coordinators.suspect(to.host)
+            }
+            cancel(request)
+            request.unansweredQuestions++
+        }
+        return lost
+    }
+
+    private fun isUnanswered(request: LiveRequest): Boolean {
+        val delegation = request.delegation ?: return false
+        if (delegation.isQueued) return !coordinators.isAvailable(delegation.to.host)
+        return out.now - delegation.askedAt > RoutingTimes.PLACEMENT_TIMEOUT
+    }
+
+    private fun forget(request: LiveRequest) {
+        request.delegation?.let { asked.remove(it.number) }
+        request.delegation = null
+    }
+
+    private companion object {
+        const val MAX_UNANSWERED = 2
+    }
+}
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
@@ -18,6 +18,10 @@
     var offset: Long = -1
         private set
 
+    /** Store offset at which a backend server last changed, or -1; hosts that know a later offset know the change. */
+    var changedAt: Long = -1
+        private set
+
     /** Time since entries were last read from the store or a peer; null if they have not been read. */
     val age: Duration? get() = readAt?.let { out.now - it }
 
@@ -54,6 +58,7 @@
             records.keys.filter { it !in present }.forEach { changed = remove(it, grace) || changed }
         }
         offset = maxOf(offset, next)
+        if (changed) changedAt = offset
         return changed
     }
 
@@ -62,6 +67,8 @@
         if (removalDueAt.isEmpty()) return false
         val due = removalDueAt.filterValues { it <= out.now }.keys.toList()
         due.forEach { removeNow(it) }
+        // A host that took over the entries at the current offset does not know the removal.
+        if (due.isNotEmpty()) changedAt = offset + 1
         return due.isNotEmpty()
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Gossip.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Gossip.kt
@@ -10,13 +10,15 @@
 import kotlin.time.Duration
 
 /**
- * Sends peers this host's admissions, calls, queues and server loads, shortly after a change and at a fixed interval.
+ * Sends peers this host's admissions, calls, queues and server loads, shortly after a change and at a fixed interval:
+ * to all peers, or to the coordinators in a large fleet.
  */
 internal class Gossip(
     private val self: Member,
     private val seeds: List<String>,
     private val out: Outbox,
     private val peers: Peers,
+    private val coordinators: Coordinators,
     private val buildMessage: (sequence: Long, heard: List<Incarnation>) -> PeerMessage.Gossip,
 ) {
     private var sequence = 0L
@@ -35,16 +37,20 @@
         if (since != null && since < maxDelay) return
         sentAt = out.now
         maxDelay = RoutingTimes.GOSSIP_INTERVAL
-        val message = buildMessage(++sequence, peers.all.filter(peers::isAlive).map { it.member.incarnation })
+        val message = buildMessage(++sequence, peers.all.filter(peers::isHeard).map { it.member.incarnation })
         targets().forEach { send(it, message) }
     }
 
     fun tick() {
-        for (peer in peers.tick()) {
+        // Only hosts that get messages from this one acknowledge them. In a large fleet, the coordinators log for all.
+        val sendsToAll = coordinators.isDirect || coordinators.selfCoordinates
+        val targets = if (sendsToAll) emptySet() else coordinators.targets.mapTo(HashSet()) { it.host }
+        val receivesMessages = { peer: Peers.Peer -> sendsToAll || peer.member.host in targets }
+        for (peer in peers.tick(receivesMessages)) {
             out.log(LogEvent.PEER_RESET, "peer" to peer.member.incarnation)
             out.emit(RoutingEffect.ResetPeer(peer.member))
         }
-        peers.all.forEach(::logConnectivity)
+        peers.all.filter(receivesMessages).forEach(::logConnectivity)
     }
 
     fun send(to: Member, message: PeerMessage) = out.emit(
@@ -59,7 +65,10 @@
     }
 
     /** A host that knows no other host, because it cannot read the store, uses the seed addresses from its settings. */
-    private fun targets(): List<Member> = peers.all.map { it.member }.ifEmpty {
-        seeds.map { self.copy(host = HostId(it), address = it) }
+    private fun targets(): List<Member> {
+        val known = if (coordinators.isDirect) peers.all.map { it.member } else coordinators.targets
+        return known.ifEmpty(::seedTargets)
     }
+
+    private fun seedTargets() = seeds.map { self.copy(host = HostId(it), address = it) }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
@@ -12,11 +12,11 @@
 internal class LiveRequest(
     val request: InboundRequest,
     val route: RouteRule,
-    val service: ServiceSpec,
+    override val service: ServiceSpec,
     val organisation: OrganisationRule?,
-    val arrivedAt: Duration,
+    override val arrivedAt: Duration,
     val configurationVersion: Long? = null,
-) {
+) : QueuedRequest {
     enum class Phase { QUEUED, PREFILL, SENT }
 
     val id: RequestId get() = request.id
@@ -24,8 +24,15 @@
     /** Time by which the answer must be complete. */
     val deadlineAt: Duration = arrivedAt + minOf(request.deadline ?: route.timeout, route.timeout)
 
-    /** Time by which the route's objective requires the answer, or the first event of a stream. */
-    val objectiveAt: Duration = arrivedAt + route.objective
+    override val firstTriedAt: Duration = deadlineAt - route.timeout
+
+    override val objectiveAt: Duration = arrivedAt + route.objective
+
+    override val waitingSince: Duration get() = maxOf(arrivedAt, sentAt)
+
+    /** A caller with less time than the route allows is retrying, and may give up after another refusal. */
+    override val isCallerRetry: Boolean =
+        (request.deadline ?: route.timeout) < route.timeout * FIRST_TRY_SHARE
 
     val promptTokens: Int = request.promptTokens ?: organisation?.tokensWithoutUsage ?: 0
 
@@ -51,7 +58,7 @@
      *
      * Requests at one engine end at different times, so they do not all need their maximum at once.
      */
-    val memoryTokens: Int
+    override val memoryTokens: Int
         get() {
             val expected = request.expectedTokens ?: (request.outputTokens * EXPECTED_OUTPUT_SHARE).toInt()
             val remaining =
@@ -62,8 +69,15 @@
 
     var phase = Phase.QUEUED
 
-    /** Identifies the request among the queued requests of this host. */
-    var queueNumber = 0L
+    override var queueNumber = 0L
+
+    /** The question to a coordinator where to place the request; null if none is open. */
+    var delegation: Delegation? = null
+
+    override val isDelegated: Boolean get() = delegation != null
+
+    /** Number of coordinators that did not answer where to place the request. */
+    var unansweredQuestions = 0
 
     /** Number of the latest call to a backend server. */
     var attempt = 0
@@ -93,7 +107,7 @@
     /** Prompt tokens queued at the prefill server ahead of this prompt. */
     var tokensAhead = 0
 
-    val urgency: Int get() = (organisation?.priority ?: route.priority).coerceIn(0, LEAST_URGENT)
+    override val urgency: Int get() = (organisation?.priority ?: route.priority).coerceIn(0, LEAST_URGENT)
 
     private companion object {
         /** Engines allocate memory in blocks of this many tokens. */
@@ -108,5 +122,6 @@
         /** An answer that exceeds its expected length is assumed to need another 1/8 of that length. */
         const val MIN_REMAINING_DIVISOR = 8
         const val LEAST_URGENT = 9
+        const val FIRST_TRY_SHARE = 0.97
     }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -1,17 +1,28 @@
 package io.anvilvalve.rules.routing
 
 import io.anvilvalve.api.id.HostId
+import io.anvilvalve.api.id.Incarnation
 import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.peer.PeerMessage
 import kotlin.time.Duration
 
+/** Short form of an incarnation in messages that list many hosts. */
+internal val Incarnation.hash: Int get() = value.hashCode()
+
 /** The other hosts, discovered through the store or through their messages. */
 internal class Peers(private val self: Member, private val out: Outbox) {
     /** State of one other host. */
     class Peer(var member: Member, var registeredAt: Duration) {
+        /** Time of the latest message received from the host itself. */
         var lastReceivedAt: Duration? = null
+
+        /** Time of the latest message of a coordinator that has received reports of the host. */
+        var lastMentionedAt: Duration? = null
         var lastAcknowledgedAt: Duration = registeredAt
         var lastMessage: PeerMessage.Gossip? = null
+
+        val lastAliveAt: Duration
+            get() = maxOf(registeredAt, lastReceivedAt ?: registeredAt, lastMentionedAt ?: registeredAt)
     }
 
     private val peers = LinkedHashMap<HostId, Peer>()
@@ -21,16 +32,26 @@
     /** Number of other hosts that may be running. */
     val size: Int get() = peers.size
 
+    /** All hosts, this host included, by rank: larger hosts first, because some tasks fall to the first hosts. */
+    var ranked: List<Member> = listOf(self)
+        private set
+
     /** Number of other hosts that are not alive (see [isAlive]), as of the latest message or tick. */
     var silentCount: Int = 0
         private set
 
+    /** Whether a coordinator mentioned an incarnation that is not registered; reset by [consumeUnknownMentioned]. */
+    private var unknownMentioned = false
+
+    operator fun get(host: HostId): Peer? = peers[host]
+
     /** Registers [member]; returns whether its incarnation was not known before. */
     fun register(member: Member): Boolean {
         if (member.host == self.host) return false
         val known = peers[member.host]
         if (known?.member?.incarnation == member.incarnation) return false
         peers[member.host] = Peer(member, out.now)
+        updateRanks()
         updateSilentCount()
         return true
     }
@@ -40,40 +61,73 @@
         register(message.member)
         val peer = peers[message.member.host] ?: return null
         if (message.sequence <= (peer.lastMessage?.sequence ?: -1)) return null
+        hear(peer, acknowledged = self.incarnation in message.heard)
+        return peer
+    }
+
+    /** Records that a message of [peer] arrived; [acknowledged] tells whether the peer receives this host's messages. */
+    fun hear(peer: Peer, acknowledged: Boolean) {
         peer.lastReceivedAt = out.now
-        if (self.incarnation in message.heard) peer.lastAcknowledgedAt = out.now
+        if (acknowledged) peer.lastAcknowledgedAt = out.now
         updateSilentCount()
-        return peer
     }
 
+    /** Records that a coordinator has recently received reports of the incarnations with the hash codes [alive]. */
+    fun mention(alive: Collection<Int>) {
+        val mentioned = alive.toHashSet()
+        for (peer in peers.values) if (mentioned.remove(peer.member.incarnation.hash)) peer.lastMentionedAt = out.now
+        mentioned.remove(self.incarnation.hash)
+        if (mentioned.isNotEmpty()) unknownMentioned = true
+        updateSilentCount()
+    }
+
+    /** Whether an unknown incarnation was mentioned since the last call; resets the flag. */
+    fun consumeUnknownMentioned(): Boolean = unknownMentioned.also { unknownMentioned = false }
+
     /**
-     * Whether a message from the peer was received within [RoutingTimes.PEER_TIMEOUT]. A new peer counts as alive for
-     * that time, because its first message is in transit.
+     * Whether a message from the peer, or a mention of it, was received within [RoutingTimes.PEER_TIMEOUT]. A new peer
+     * counts as alive for that time, because its first message is in transit.
      */
-    fun isAlive(peer: Peer): Boolean = out.now - (peer.lastReceivedAt ?: peer.registeredAt) < RoutingTimes.PEER_TIMEOUT
+    fun isAlive(peer: Peer): Boolean = out.now - peer.lastAliveAt < RoutingTimes.PEER_TIMEOUT
+
+    /** Whether a message from the peer itself was received within [RoutingTimes.PEER_TIMEOUT]. */
+    fun isHeard(peer: Peer): Boolean =
+        peer.lastReceivedAt?.let { out.now - it < RoutingTimes.PEER_TIMEOUT } == true
 
     /**
-     * Removes hosts that have been silent for [RoutingTimes.PEER_EXPIRY]; returns those that no longer receive messages
-     * from this host.
+     * Removes hosts that have been silent for [RoutingTimes.PEER_EXPIRY]; returns those among the hosts that satisfy
+     * [receiveMessages] that no longer receive messages from this host.
      */
-    fun tick(): List<Peer> {
-        peers.values.removeIf { out.now - (it.lastReceivedAt ?: it.registeredAt) > RoutingTimes.PEER_EXPIRY }
+    fun tick(receiveMessages: (Peer) -> Boolean = { true }): List<Peer> {
+        if (peers.values.removeIf { out.now - it.lastAliveAt > RoutingTimes.PEER_EXPIRY }) updateRanks()
         updateSilentCount()
-        val notReceiving = peers.values.filter { out.now - it.lastAcknowledgedAt > RoutingTimes.PEER_TIMEOUT }
+        val notReceiving = peers.values.filter {
+            out.now - it.lastAcknowledgedAt > RoutingTimes.PEER_TIMEOUT && receiveMessages(it)
+        }
         notReceiving.forEach { it.lastAcknowledgedAt = out.now }
         return notReceiving
     }
 
+    /** Share of all hosts from which this host recently received messages, including itself. */
+    val heardShare: Double get() = (all.count(::isHeard) + 1.0) / (size + 1)
+
     /** Share of all hosts that are alive, including this host. */
     val aliveShare: Double get() = (size + 1.0 - silentCount) / (size + 1)
 
     /**
-     * Whether this host performs the tasks that a single host performs for all. The leader has the lowest id among the
+     * Whether this host performs the tasks that a single host performs for all. The leader has the first rank among the
      * alive hosts. A host for which at most half of all hosts are alive, itself included, does not lead, because it may
      * be partitioned off while another host leads.
      */
-    val isLeader: Boolean
-        get() = aliveShare > HALF && all.filter(::isAlive).all { it.member.host.value > self.host.value }
+    val isLeader: Boolean get() = aliveShare > HALF && ranked.first(::isSelfOrAlive).host == self.host
+
+    /** Whether [member] is this host, or a host that is alive. */
+    fun isSelfOrAlive(member: Member): Boolean = member.host == self.host || peers[member.host]?.let(::isAlive) == true
+
+    private fun updateRanks() {
+        ranked = (peers.values.map { it.member } + self)
+            .sortedWith(compareByDescending<Member> { it.capacity }.thenBy { it.host.value })
+    }
 
     private fun updateSilentCount() {
         silentCount = peers.values.count { !isAlive(it) }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Placement.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Placement.kt
@@ -7,6 +7,7 @@
 import io.anvilvalve.api.routing.ServiceId
 import io.anvilvalve.api.routing.ServiceSpec
 import io.anvilvalve.api.routing.Stage
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
@@ -22,16 +23,14 @@
     private val out: Outbox,
     private val directory: Directory,
     private val loads: ServerLoads,
-    private val reports: Reports,
+    private val reports: ServerReports,
+    private val random: Random,
 ) {
-    /** Server states that this host and its peers report. */
-    interface Reports {
-        /** Whether an engine is changing its stage and accepts no work. */
-        fun isChanging(server: BackendServerId): Boolean
-
-        /** Whether a peer recently failed to connect to the server. This host may still reach it. */
-        fun isUnreachableForPeer(server: BackendServerId): Boolean
-    }
+    /**
+     * Whether the loads of all hosts are known. Hosts that know them only in part select the better of two random
+     * servers, because they would otherwise all select the same one.
+     */
+    var knowsLoads: Boolean = true
 
     private val health = HashMap<BackendServerId, ServerHealth>()
 
@@ -49,12 +48,23 @@
         )
     }
 
+    /** Selects the servers for [need]; null if none has capacity for it. */
+    fun select(need: PlacementNeed): SelectedServers? {
+        val service = need.service
+        val engine = service.engine ?: return plain(service.id, need.avoided)?.let { SelectedServers(it) }
+        val decode = decode(service.id, engine, need.memoryTokens, need.avoided) ?: return null
+        if (need.promptTokens == 0) return SelectedServers(decode)
+        val prefill = prefill(service.id, need.promptTokens, decode, need.avoided)
+        return SelectedServers(decode, prefill, prefill?.let { loads.tokens(it.id) } ?: 0)
+    }
+
     /** A server of a plain service that can start the call soon, or null if all servers are busy. */
     fun plain(service: ServiceId, tried: Set<BackendServerId>): Backend? {
         val usable = usable(service, null, tried)
         val medianFailures = medianFailureShare(usable)
         return usable
             .filter { loads.requests(it.id) < it.slots + MAX_WAITING_AT_SERVER }
+            .candidates()
             .minByOrNull { plainScore(it, medianFailures) }
     }
 
@@ -62,18 +72,22 @@
     fun decode(service: ServiceId, engine: EngineSpec, tokens: Int, tried: Set<BackendServerId>): Backend? =
         decodeEngines(service, tried)
             .filter { loads.requests(it.id) < engine.slots && loads.tokens(it.id) + tokens <= usableMemory(engine) }
+            .candidates()
             .minByOrNull { decodeScore(it, engine, tokens) }
 
     /**
      * The prefill engine expected to finish [tokens] first, taking the transfer to [decode] into account, or null if
-     * there is none.
+     * there is none or its backlog is too long.
      */
     fun prefill(service: ServiceId, tokens: Int, decode: Backend, tried: Set<BackendServerId>): Backend? =
-        usable(service, Stage.PREFILL, tried).minByOrNull { server ->
-            val ready = (loads.tokens(server.id) + tokens) * serviceMillis(server) / TOKENS_PER_UNIT
-            val withTransfer = if (server.dataCentre == decode.dataCentre) ready else ready + REMOTE_TRANSFER_MILLIS
-            withTransfer * reachabilityFactor(server)
-        }
+        usable(service, Stage.PREFILL, tried)
+            .candidates()
+            .minByOrNull { server ->
+                val ready = (loads.tokens(server.id) + tokens) * serviceMillis(server) / TOKENS_PER_UNIT
+                val withTransfer = if (server.dataCentre == decode.dataCentre) ready else ready + REMOTE_TRANSFER_MILLIS
+                withTransfer * reachabilityFactor(server)
+            }
+            ?.takeIf { prefillTime(it, tokens) <= MAX_PREFILL_BACKLOG }
 
     /** Expected time until [server] has processed [tokens] more prompt tokens. */
     fun prefillTime(server: Backend, tokens: Int): Duration =
@@ -127,9 +141,17 @@
     private fun usable(service: ServiceId, stage: Stage?, tried: Set<BackendServerId>): List<Backend> =
         directory.of(service).filter {
             it.stage == stage && !it.leaving && it.id !in tried && !health(it).isEjected(out.now) &&
-                !reports.isChanging(it.id)
+                !reports.isChanging(it.id) && !isDown(it)
         }
 
+    private fun List<Backend>.candidates() = if (knowsLoads) this else shuffled(random).take(RANDOM_CANDIDATES)
+
+    /** Whether several hosts cannot connect to the server and none has had a success there. */
+    private fun isDown(server: Backend): Boolean {
+        if (reports.unreachableCount(server.id) < MIN_UNREACHABLE_REPORTS) return false
+        return health(server).succeededAt?.let { out.now - it > SUCCESS_VALIDITY } != false
+    }
+
     private fun plainScore(server: Backend, medianFailures: Double): Double {
         val utilisation = (loads.requests(server.id) + 1.0) / server.slots
         val excess = (health(server).failureShare - medianFailures).coerceAtLeast(0.0)
@@ -163,7 +185,7 @@
         reachabilityFactor(server) * if (server.dataCentre == dataCentre) 1.0 else REMOTE_CALL_FACTOR
 
     private fun reachabilityFactor(server: Backend) =
-        if (reports.isUnreachableForPeer(server.id)) UNREACHABLE_FACTOR else 1.0
+        if (reports.unreachableCount(server.id) > 0) UNREACHABLE_FACTOR else 1.0
 
     /**
      * Median failure share of the servers. It is the baseline for comparison, because many calls may fail at every
@@ -186,6 +208,16 @@
         private const val USED_MEMORY_SHARE = 0.96
         private const val FAILURE_WEIGHT = 10.0
 
+        /** With a longer backlog at the prefill engines, the decode engine processes the prompt, at half the speed. */
+        private val MAX_PREFILL_BACKLOG = 450.milliseconds
+
+        /** A host that is cut off from servers must not take them from the other hosts. */
+        private const val MIN_UNREACHABLE_REPORTS = 2
+        private const val RANDOM_CANDIDATES = 2
+
+        /** A success that is older says nothing about a server that hosts cannot connect to. */
+        private val SUCCESS_VALIDITY = 1_000.milliseconds
+
         /** Calls and transfers within the data centre have lower latency and no transfer cost. */
         private const val REMOTE_CALL_FACTOR = 1.03
 
--- /dev/null
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/QueuedRequest.kt
@@ -0,0 +1,34 @@
+package io.anvilvalve.rules.routing
+
+import io.anvilvalve.api.routing.ServiceSpec
+import kotlin.time.Duration
+
+/** A request that waits for capacity, at the host that received it or at the coordinator that places it. */
+internal sealed interface QueuedRequest {
+    val service: ServiceSpec
+
+    /** Rank of the organisation or route; 0 is the most urgent. */
+    val urgency: Int
+    val arrivedAt: Duration
+
+    /** Time of the caller's first attempt, as far as the remaining time until its deadline shows it. */
+    val firstTriedAt: Duration
+
+    /** Time by which the route's objective requires the answer, or the first event of a stream. */
+    val objectiveAt: Duration
+
+    /** Time since when the request has been waiting. */
+    val waitingSince: Duration
+
+    /** Whether the caller has come back after a refusal. */
+    val isCallerRetry: Boolean
+
+    /** Memory in tokens to reserve at an engine. */
+    val memoryTokens: Int
+
+    /** Whether a coordinator has been asked to place the request. */
+    val isDelegated: Boolean
+
+    /** Identifies the request among the queued requests of this host. */
+    var queueNumber: Long
+}
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Queues.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Queues.kt
@@ -9,23 +9,24 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Requests of this host that wait for capacity, by service.
+ * Requests that wait for capacity, by service: those of this host, and those that it places for other hosts.
  *
  * Under overload, requests that can still meet their route's objective are placed first. The others are placed if
  * capacity remains, and are refused after [WAIT_FOR_ENGINE] or [WAIT_FOR_CALL]. All hosts follow one order: a host
  * places no queued request while a peer reports one with a lower rank, which precedes it. Otherwise several hosts that
- * see the same free memory would all use it.
+ * see the same free memory would all use it. In a large fleet, one coordinator places the requests of all hosts.
  */
 internal class Queues(
     private val self: Member,
     private val out: Outbox,
     private val placement: Placement,
     private val peers: Peers,
+    private val coordinators: Coordinators,
 ) {
     private class Deferral(val head: Long, val since: Duration)
 
     private val deferrals = HashMap<HostId, Deferral>()
-    private val waiting = LinkedHashMap<ServiceId, MutableList<LiveRequest>>()
+    private val waiting = LinkedHashMap<ServiceId, MutableList<QueuedRequest>>()
 
     /** Number of queue changes so far. */
     var changeCount = 0L
@@ -33,40 +34,46 @@
 
     val services: Collection<ServiceId> get() = waiting.filterValues { it.isNotEmpty() }.keys.toList()
 
-    fun add(request: LiveRequest) {
+    fun add(request: QueuedRequest) {
         changeCount++
         request.queueNumber = changeCount
         waiting.getOrPut(request.service.id) { ArrayList() }.add(request)
     }
 
-    fun remove(request: LiveRequest) {
+    fun remove(request: QueuedRequest) {
         if (waiting[request.service.id]?.remove(request) == true) changeCount++
     }
 
     /** Queued work at this host: tokens of memory for engines, number of calls for plain services. */
-    fun queuedTokens(service: ServiceId): Int = waiting[service].orEmpty().sumOf(::workOf)
+    fun queuedTokens(service: ServiceId): Int =
+        waiting[service].orEmpty().filterNot { it.isDelegated }.sumOf(::workOf)
 
     /** The request of [service] that this host would place next. */
-    fun head(service: ServiceId): QueueHead? = waiting[service].orEmpty().minWithOrNull(byRank())?.let { request ->
-        QueueHead(
-            rank(request),
-            (out.now - request.arrivedAt).inWholeMilliseconds,
-            request.memoryTokens,
-            request.queueNumber,
-        )
+    fun head(service: ServiceId): QueueHead? {
+        if (!coordinators.isDirect) return null
+        return waiting[service].orEmpty().minWithOrNull(byRank())?.let { request ->
+            QueueHead(
+                rank(request),
+                (out.now - request.arrivedAt).inWholeMilliseconds,
+                request.memoryTokens,
+                request.queueNumber,
+            )
+        }
     }
 
+    /** The queued requests of [service] that no coordinator has been asked to place, in order. */
+    fun undelegated(service: ServiceId): List<QueuedRequest> =
+        waiting[service].orEmpty().filterNot { it.isDelegated }.sortedWith(byRank())
+
     /**
      * Passes the queued requests of [service] to [place] in order. Stops at a request that a peer's request precedes,
      * and at one without capacity if it is for a plain service or has waited for [MAX_BYPASS_TIME].
      */
-    fun dispatch(service: ServiceId, place: (LiveRequest) -> Boolean) {
-        val queue = waiting[service]?.takeIf { it.isNotEmpty() } ?: return
-        for (request in queue.sortedWith(byRank())) {
+    fun dispatch(service: ServiceId, place: (QueuedRequest) -> Boolean) {
+        for (request in undelegated(service)) {
             if (defersToPeer(request)) return
             if (place(request)) {
-                queue.remove(request)
-                changeCount++
+                remove(request)
             } else if (request.service.engine == null || out.now - request.arrivedAt > MAX_BYPASS_TIME) {
                 return
             }
@@ -74,23 +81,23 @@
     }
 
     /** Whether the queued [request] can be expected to be placed within its waiting limit. */
-    fun mayWait(request: LiveRequest): Boolean = expectedWait(request) <= waitLimit(request)
+    fun mayWait(request: QueuedRequest): Boolean = expectedWait(request) <= waitLimit(request)
 
-    fun expectedWait(request: LiveRequest): Duration {
+    fun expectedWait(request: QueuedRequest): Duration {
         val peersQueued = peers.all.filter(peers::isAlive).sumOf { peer ->
             peer.lastMessage?.attempts?.firstOrNull { it.service == request.service.id }?.queuedTokens ?: 0
         }
         return placement.expectedWait(request.service, queuedTokens(request.service.id) + peersQueued)
     }
 
-    /** Whether [request] has reached its waiting limit. */
-    fun isOverdue(request: LiveRequest): Boolean {
-        val since = maxOf(request.arrivedAt, request.sentAt)
-        return out.now - since > waitLimit(request)
+    /** Whether [request] has reached its waiting limit; the coordinator that places a request decides first. */
+    fun isOverdue(request: QueuedRequest): Boolean {
+        val grace = if (request.isDelegated) RoutingTimes.PLACEMENT_GRACE else Duration.ZERO
+        return out.now - request.waitingSince > waitLimit(request) + grace
     }
 
     /** Whether a peer reports a request that precedes [request] and should be placed first. */
-    private fun defersToPeer(request: LiveRequest): Boolean = peers.all.any { peer ->
+    private fun defersToPeer(request: QueuedRequest): Boolean = coordinators.isDirect && peers.all.any { peer ->
         val lastReceivedAt = peer.lastReceivedAt ?: return@any false
         val since = out.now - lastReceivedAt
         val head = peer.lastMessage?.attempts?.firstOrNull { it.service == request.service.id }?.head
@@ -122,26 +129,20 @@
         return out.now - deferral.since < DEFERRAL_TIME
     }
 
-    private fun byRank() = compareBy<LiveRequest> { rank(it) }
+    private fun byRank() = compareBy<QueuedRequest> { rank(it) }
 
-    private fun rank(request: LiveRequest): Long {
+    private fun rank(request: QueuedRequest): Long {
         val late = if (request.objectiveAt <= out.now) LATE_RANK else 0
-        val waited = request.route.timeout - (request.deadlineAt - out.now)
-        return request.urgency * URGENCY_RANK + late - waited.inWholeMilliseconds
+        return request.urgency * URGENCY_RANK + late - (out.now - request.firstTriedAt).inWholeMilliseconds
     }
 
-    /** A caller with less time than the route allows is retrying after a refusal, and may give up after another one. */
-    private fun waitLimit(request: LiveRequest): Duration {
-        val isCallerRetry =
-            (request.request.deadline ?: request.route.timeout) < request.route.timeout * FIRST_TRY_SHARE
-        return when {
-            request.service.engine == null -> WAIT_FOR_CALL
-            isCallerRetry -> WAIT_AFTER_REFUSAL
-            else -> WAIT_FOR_ENGINE
-        }
+    private fun waitLimit(request: QueuedRequest): Duration = when {
+        request.service.engine == null -> WAIT_FOR_CALL
+        request.isCallerRetry -> WAIT_AFTER_REFUSAL
+        else -> WAIT_FOR_ENGINE
     }
 
-    private fun workOf(request: LiveRequest) = if (request.service.engine == null) 1 else request.memoryTokens
+    private fun workOf(request: QueuedRequest) = if (request.service.engine == null) 1 else request.memoryTokens
 
     companion object {
         /** Callers of streams disconnect after 3.6 s without an event, and prefill takes a part of that time. */
@@ -156,7 +157,6 @@
 
         /** Covers several message latencies between hosts and the batching delay of messages. */
         private val DEFERRAL_TIME = 60.milliseconds
-        private const val FIRST_TRY_SHARE = 0.97
 
         /** Rank offsets in milliseconds, larger than any time that a request waits. */
         private const val LATE_RANK = 10_000_000L
--- /dev/null
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RemoteRequest.kt
@@ -0,0 +1,27 @@
+package io.anvilvalve.rules.routing
+
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PlacementMessage
+import io.anvilvalve.api.routing.ServiceSpec
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A request of the host [from] that this host, as coordinator, places for it. */
+internal class RemoteRequest(
+    val from: Member,
+    message: PlacementMessage.Request,
+    override val service: ServiceSpec,
+    now: Duration,
+) : QueuedRequest {
+    val number: Long = message.number
+    val need = PlacementNeed(service, message.memoryTokens, message.promptTokens, message.avoided.toSet())
+    override val urgency: Int = message.urgency
+    override val waitingSince: Duration = now - message.waitedMillis.milliseconds
+    override val arrivedAt: Duration get() = waitingSince
+    override val firstTriedAt: Duration = now - message.agedMillis.milliseconds
+    override val objectiveAt: Duration = now + message.objectiveMillis.milliseconds
+    override val isCallerRetry: Boolean = message.returned
+    override val memoryTokens: Int get() = need.memoryTokens
+    override val isDelegated: Boolean get() = false
+    override var queueNumber: Long = 0
+}
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
@@ -10,14 +10,13 @@
 internal class RequestCompletion(
     private val out: Outbox,
     private val quotas: SharedQuotas,
-    private val queues: Queues,
     private val configuration: ConfigurationState,
     private val random: Random,
 ) {
-    /** Refuses [request], which was not executed, and states when the caller may retry. */
-    fun refuse(request: LiveRequest, code: ResultCode) {
+    /** Refuses [request], which was not executed and could be placed after [expectedWait], and states when to retry. */
+    fun refuse(request: LiveRequest, code: ResultCode, expectedWait: Duration) {
         request.organisation?.let { quotas.release(it.id, request.cost) }
-        val retryAfter = if (code == ResultCode.DRAINING) MIN_RETRY_AFTER else retryAfter(request)
+        val retryAfter = if (code == ResultCode.DRAINING) MIN_RETRY_AFTER else retryAfter(request, expectedWait)
         out.log(
             LogEvent.REQUEST_REFUSED,
             *fields(request),
@@ -37,10 +36,10 @@
     }
 
     /** Expected time until the queue is empty, with jitter so that refused callers do not retry at the same time. */
-    private fun retryAfter(request: LiveRequest): Duration {
+    private fun retryAfter(request: LiveRequest, expectedWait: Duration): Duration {
         val maxWait = (request.deadlineAt - out.now) / RETRY_AFTER_DIVISOR
         val jitter = MIN_JITTER + JITTER_RANGE * random.nextDouble()
-        val wait = queues.expectedWait(request).coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER) * jitter
+        val wait = expectedWait.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER) * jitter
         return wait.coerceIn(MIN_RETRY_AFTER, maxOf(maxWait, MIN_RETRY_AFTER))
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -1,14 +1,20 @@
 package io.anvilvalve.rules.routing
 
 import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.result.Executed
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.ServiceId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Life cycle of admitted requests: queue, prefill, call, retry, completion. */
+/**
+ * Life cycle of admitted requests: queue, prefill, call, retry, completion.
+ *
+ * @param placer the coordinator that places the requests; null while this host places them itself.
+ */
 internal class Requests(
     private val out: Outbox,
     private val placement: Placement,
@@ -16,7 +22,10 @@
     private val retries: SharedRetries,
     private val queues: Queues,
     private val completion: RequestCompletion,
-    private val balance: StageBalance,
+    private val outcomes: ServerOutcomes,
+    private val delegated: DelegatedPlacement,
+    private val remote: RemotePlacements,
+    private val placer: () -> Member?,
 ) {
     private val inFlight = LinkedHashMap<RequestId, LiveRequest>()
 
@@ -27,9 +36,30 @@
         retries.recordRequest(request.service.id)
         queues.add(request)
         place(request.service.id)
-        if (request.phase == LiveRequest.Phase.QUEUED) queueOrRefuse(request)
+        if (request.phase == LiveRequest.Phase.QUEUED && !request.isDelegated) queueOrRefuse(request)
     }
 
+    /** Places [request] of another host. */
+    fun accept(request: RemoteRequest) {
+        remote.add(request)
+        placeHere(request.service.id)
+        remote.settle(request)
+    }
+
+    /** Starts [request], to which a coordinator has granted [server] and [prefill]. */
+    fun granted(request: LiveRequest, server: Backend?, prefill: Backend?, tokensAhead: Int) {
+        if (server == null || server.leaving || server.id in request.triedServers) {
+            // This host knows a newer or an older state of the backend servers than the coordinator.
+            placeHere(request.service.id)
+        } else {
+            queues.remove(request)
+            start(request, SelectedServers(server, prefill, tokensAhead))
+        }
+    }
+
+    /** Refuses [request], which the coordinator cannot place within [wait]. */
+    fun refused(request: LiveRequest, wait: Duration) = endUnplaced(request, wait)
+
     fun callerGone(id: RequestId) {
         val request = inFlight[id] ?: return
         out.emit(RoutingEffect.Abandon(id, request.attempt))
@@ -40,23 +70,18 @@
         val request = inFlight[id]?.takeIf { it.attempt == attempt && it.phase == LiveRequest.Phase.PREFILL }
         if (request == null) return
         val server = checkNotNull(request.prefillServer)
-        val health = placement.health(server)
         releasePrefill(request)
         when (result) {
             is PrefillResult.Done -> {
-                health.succeeded()
                 val processedTokens = request.tokensAhead + request.promptTokens
-                if (processedTokens > 0) {
-                    health.recordServiceTime((out.now - request.sentAt) * TOKENS_PER_UNIT / processedTokens)
-                    balance.recordPrefill((out.now - request.sentAt) * request.promptTokens / processedTokens)
-                }
+                outcomes.prefilled(server, out.now - request.sentAt, processedTokens, request.promptTokens)
                 request.source = PrefillSource(server, result.handle)
                 request.sourceExpiresAt = out.now + sourceLifetime(request)
                 forward(request, request.source)
             }
 
             is PrefillResult.Failed -> {
-                if (result.unreachable) health.unreachable(out.now) else health.failed(out.now)
+                recordFailure(server, result.unreachable)
                 request.lastReason = "prefill at ${server.id} failed: ${result.reason}"
                 logRetry(request)
                 retryPrefill(request)
@@ -85,33 +110,28 @@
         val request = inFlight[id]?.takeIf { it.attempt == attempt && it.phase == LiveRequest.Phase.SENT } ?: return
         request.lastReason = failureReason(result)
         val server = checkNotNull(request.server)
-        val health = placement.health(server)
         release(request)
         when (result) {
             AttemptResult.Complete -> {
                 request.source = null
-                health.succeeded()
-                health.recordServiceTime(out.now - request.sentAt)
-                request.service.engine?.let {
-                    balance.recordDecode(out.now - request.sentAt, request.reservedTokens, it)
-                }
+                outcomes.answered(server, out.now - request.sentAt, request.reservedTokens)
                 end(request, code = null)
             }
 
             is AttemptResult.NotExecuted -> {
-                if (result.status == MISDIRECTED) health.unreachable(out.now) else health.rejected(out.now)
+                if (result.status == MISDIRECTED) recordUnreachable(server) else outcomes.rejected(server)
                 // An engine that is full and one that cannot fetch the prefill result give the same answer.
                 if (result.status != MISDIRECTED) dropSource(request)
                 retryNotExecuted(request, budget = true)
             }
 
             is AttemptResult.ErrorAnswer -> {
-                health.failed(out.now)
+                outcomes.failed(server)
                 request.runs++
                 if (!tryRepeat(request)) relayFailure(request, result.status)
             }
 
-            is AttemptResult.Failed -> attemptFailed(request, health, result)
+            is AttemptResult.Failed -> attemptFailed(request, server, result)
         }
         place(request.service.id)
     }
@@ -123,12 +143,24 @@
         is AttemptResult.Failed -> result.reason
     }
 
-    /** Places queued requests of [service], most urgent first. */
-    fun place(service: ServiceId) = queues.dispatch(service, ::tryPlace)
+    /** Places queued requests of [service], most urgent first, or asks the coordinator to do so. */
+    fun place(service: ServiceId) {
+        val to = placer()
+        if (to == null) {
+            placeHere(service)
+        } else {
+            queues.undelegated(service).filterIsInstance<LiveRequest>().filter(delegated::mayAsk)
+                .forEach { delegated.ask(it, to) }
+            // Places what no coordinator answered, and requests of hosts that consider this host the coordinator.
+            placeHere(service)
+        }
+    }
 
     fun placeAll() = queues.services.forEach(::place)
 
     fun tick() {
+        delegated.tick().map { it.service.id }.distinct().forEach(::place)
+        remote.tick()
         for (request in inFlight.values.toList()) {
             when {
                 out.now >= request.deadlineAt -> timedOut(request)
@@ -158,34 +190,45 @@
         }
     }
 
+    private fun placeHere(service: ServiceId) = queues.dispatch(service, ::tryPlace)
+
+    private fun tryPlace(request: QueuedRequest): Boolean = when (request) {
+        is RemoteRequest -> remote.tryPlace(request)
+        is LiveRequest -> tryPlace(request)
+    }
+
     private fun tryPlace(request: LiveRequest): Boolean {
-        val service = request.service
-        val engine = service.engine
-        if (engine == null) {
-            request.server = placement.plain(service.id, request.triedServers) ?: return false
+        val isPrefilled = validSource(request) != null
+        val need = PlacementNeed(
+            request.service,
+            request.memoryTokens,
+            if (isPrefilled) 0 else request.promptTokens,
+            request.triedServers,
+        )
+        start(request, placement.select(need) ?: return false)
+        return true
+    }
+
+    private fun start(request: LiveRequest, selected: SelectedServers) {
+        request.server = selected.server
+        request.reservedTokens = if (request.service.engine == null) 0 else request.memoryTokens
+        loads.add(selected.server.id, request.reservedTokens)
+        val source = validSource(request)
+        if (source != null || selected.prefill == null) {
+            forward(request, source)
         } else {
-            request.server =
-                placement.decode(service.id, engine, request.memoryTokens, request.triedServers) ?: return false
+            startPrefill(request, selected.prefill, selected.tokensAhead)
         }
-        request.reservedTokens = if (engine == null) 0 else request.memoryTokens
-        loads.add(checkNotNull(request.server).id, request.reservedTokens)
-        val source = request.source?.takeIf { out.now < request.sourceExpiresAt }
-        if (source != null || engine == null || !startPrefill(request)) forward(request, source)
-        return true
     }
 
-    /**
-     * Starts the prefill at an engine that has not failed for this request; returns false if there is none or its
-     * backlog is too long.
-     */
-    private fun startPrefill(request: LiveRequest): Boolean {
-        val server = prefillServer(request) ?: return false
-        if (placement.prefillTime(server, request.promptTokens) > MAX_PREFILL_BACKLOG) return false
+    private fun validSource(request: LiveRequest) = request.source?.takeIf { out.now < request.sourceExpiresAt }
+
+    private fun startPrefill(request: LiveRequest, server: Backend, tokensAhead: Int) {
         request.phase = LiveRequest.Phase.PREFILL
         request.attempt++
         request.prefills++
         request.prefillServer = server
-        request.tokensAhead = loads.tokens(server.id)
+        request.tokensAhead = tokensAhead
         request.sentAt = out.now
         loads.add(server.id, request.promptTokens)
         out.log(
@@ -199,18 +242,20 @@
             *placement.stateFields(),
         )
         out.emit(RoutingEffect.Prefill(request.id, request.attempt, server, terms(request)))
-        return true
     }
 
-    private fun prefillServer(request: LiveRequest) =
-        placement.prefill(request.service.id, request.promptTokens, checkNotNull(request.server), request.triedServers)
-
     /**
      * Retries the prefill at another engine within the retry budget; otherwise the decode engine processes the prompt.
      */
     private fun retryPrefill(request: LiveRequest) {
+        val decode = checkNotNull(request.server)
         val mayRepeat = request.prefills < MAX_PREFILLS && retries.tryReserveRetry(request.service.id)
-        if (!mayRepeat || !startPrefill(request)) forward(request, source = null)
+        val server = if (mayRepeat) {
+            placement.prefill(request.service.id, request.promptTokens, decode, request.triedServers)
+        } else {
+            null
+        }
+        if (server == null) forward(request, source = null) else startPrefill(request, server, loads.tokens(server.id))
     }
 
     private fun forward(request: LiveRequest, source: PrefillSource?) {
@@ -241,8 +286,13 @@
     private fun terms(request: LiveRequest) =
         CallTerms(request.deadlineAt - out.now, request.organisation?.id, request.urgency)
 
-    private fun attemptFailed(request: LiveRequest, health: ServerHealth, result: AttemptResult.Failed) {
-        if (result.unreachable) health.unreachable(out.now) else health.failed(out.now)
+    private fun recordFailure(server: Backend, unreachable: Boolean) =
+        if (unreachable) recordUnreachable(server) else outcomes.failed(server)
+
+    private fun recordUnreachable(server: Backend) = placement.health(server).unreachable(out.now)
+
+    private fun attemptFailed(request: LiveRequest, server: Backend, result: AttemptResult.Failed) {
+        recordFailure(server, result.unreachable)
         if (result.executed == Executed.NO) {
             retryNotExecuted(request, budget = !result.unreachable)
             return
@@ -332,9 +382,9 @@
     }
 
     /** Ends a request that cannot be placed. It is refused as not executed only if no server can have executed it. */
-    private fun endUnplaced(request: LiveRequest) {
+    private fun endUnplaced(request: LiveRequest, wait: Duration? = null) {
         if (request.runs == 0 && request.startedAt == null) {
-            refuse(request, ResultCode.DEADLINE_UNREACHABLE)
+            refuse(request, ResultCode.DEADLINE_UNREACHABLE, wait)
         } else {
             fail(request, ResultCode.BACKEND_FAILED)
         }
@@ -352,10 +402,10 @@
         end(request, ResultCode.BACKEND_FAILED)
     }
 
-    private fun refuse(request: LiveRequest, code: ResultCode) {
+    private fun refuse(request: LiveRequest, code: ResultCode, wait: Duration? = null) {
         release(request)
         dropSource(request)
-        completion.refuse(request, code)
+        completion.refuse(request, code, wait ?: queues.expectedWait(request))
         inFlight.remove(request.id)
     }
 
@@ -372,6 +422,7 @@
     }
 
     private fun release(request: LiveRequest) {
+        delegated.cancel(request)
         queues.remove(request)
         request.server?.let { loads.remove(it.id, request.reservedTokens) }
         request.server = null
@@ -385,14 +436,10 @@
 
     private companion object {
         const val MISDIRECTED = 421
-        const val TOKENS_PER_UNIT = 1_000
 
         /** A failed prefill is retried once at another engine; after that the decode engine processes the prompt. */
         const val MAX_PREFILLS = 2
 
-        /** With a longer backlog at the prefill engines, the decode engine processes the prompt, at half the speed. */
-        val MAX_PREFILL_BACKLOG = 450.milliseconds
-
         /** An engine of normal speed processes a prompt in at most a quarter of this time. */
         val MIN_PREFILL_TIMEOUT = 800.milliseconds
         const val PREFILL_TIMEOUT_FACTOR = 3
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
@@ -77,6 +77,15 @@
     /** Orders [server] to change to [stage], unless a newer fencing token than [fence] has been acquired. */
     data class SendOrder(val server: Backend, val stage: Stage, val fence: Long) : RoutingEffect
 
+    /**
+     * Starts or stops following changes in the store; reads for a new configuration wait up to [wait]. A start reads
+     * the complete state again.
+     */
+    data class FollowStore(val active: Boolean, val wait: Duration) : RoutingEffect
+
+    /** Reads the list of hosts from the store. */
+    data object ReadHosts : RoutingEffect
+
     /** Writes a log line. */
     data class Log(val event: LogEvent, val fields: Map<String, String>) : RoutingEffect
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -1,16 +1,18 @@
 package io.anvilvalve.rules.routing
 
 import io.anvilvalve.api.Reducer
-import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.FleetSummary
 import io.anvilvalve.api.peer.PeerFrame
 import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.peer.PlacementMessage
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.routing.RecordedUsage
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StateDecoder
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Makes all decisions of a host that routes by a configuration in the platform's store.
@@ -30,20 +32,31 @@
     private val configuration = ConfigurationState(decoder)
     private val directory = Directory(out, decoder)
     private val peers = Peers(self, out)
+    private val coordinators = Coordinators(self, out, peers)
     private val loads = ServerLoads(out)
     private val balance = StageBalance(out, directory, loads, settings)
-    private val placement = Placement(self.dataCentre, out, directory, loads, ServerReports())
-    private val quotas = SharedQuotas(out, peers, settings.quota)
-    private val retries = SharedRetries(out, peers, settings)
-    private val queues = Queues(self, out, placement, peers)
+    private val reports = ServerReports(peers, balance)
+    private val placement = Placement(self.dataCentre, out, directory, loads, reports, random)
+    private val outcomes =
+        ServerOutcomes(out, directory, placement, balance) { configuration.service(it)?.engine }
+    private val quotas = SharedQuotas(out, coordinators, settings.quota)
+    private val retries = SharedRetries(out, coordinators, settings)
+    private val queues = Queues(self, out, placement, peers, coordinators)
     private val drain = Drain(out, settings.drainLimit)
     private val admission = RequestAdmission(out, configuration, quotas, drain, random)
-    private val completion = RequestCompletion(out, quotas, queues, configuration, random)
-    private val requests = Requests(out, placement, loads, retries, queues, completion, balance)
+    private val completion = RequestCompletion(out, quotas, configuration, random)
+    private val delegated: DelegatedPlacement =
+        DelegatedPlacement(out, coordinators, placement, random.nextLong(MAX_FIRST_NUMBER), ::send)
+    private val remote: RemotePlacements = RemotePlacements(self.incarnation, out, queues, placement, loads, ::send)
+    private val requests =
+        Requests(out, placement, loads, retries, queues, completion, outcomes, delegated, remote) {
+            coordinators.placer(isAvailable)
+        }
     private val orders = OrderDispatcher(out, peers, balance, configuration, settings)
     private val state = StateFollower(out, configuration, directory, peers, StateSink())
+    private val storeReading = StoreReading(out, peers, coordinators, state)
     private val usageWriter = UsageWriter(out, peers, quotas)
-    private val gossip = Gossip(self, seeds, out, peers) { sequence, heard ->
+    private val gossip: Gossip = Gossip(self, seeds, out, peers, coordinators) { sequence, heard ->
         PeerMessage.Gossip(
             member = self,
             sequence = sequence,
@@ -56,16 +69,37 @@
             changing = balance.changing,
             unreachable = placement.unreachable(),
             settled = quotas.settled,
+            outcomes = outcomes.drain(),
+            grants = delegated.grantsSeen,
+            isReport = !coordinators.isDirect,
+        )
+    }
+    private val summaries: SummarySender = SummarySender(out, peers, coordinators, ::send) { number, alive ->
+        FleetSummary(
+            member = self,
+            number = number,
+            alive = alive,
+            configuration = configuration.offset,
+            directory = directory.changedAt,
+            storeAgeMillis = state.storeAge.inWholeMilliseconds,
+            available = isAvailable,
+            totals = if (coordinators.placer(isAvailable) == null) buildTotals() else null,
         )
     }
 
+    /** Whether this host may place requests for others: it serves, and most hosts report to it. */
+    private val isAvailable: Boolean
+        get() = coordinators.selfCoordinates && ready && peers.heardShare > MIN_HEARD_SHARE
+
     private var ready = false
 
     override fun reduce(event: RoutingEvent, now: Duration): List<RoutingEffect> {
         out.now = now
+        placement.knowsLoads = coordinators.isDirect || isAvailable
         handle(event)
         updateReady()
         gossip.flush()
+        summaries.flush()
         return out.drain()
     }
 
@@ -110,8 +144,12 @@
     }
 
     private fun tick() {
+        coordinators.update()
+        if (coordinators.selfCoordinates || coordinators.isDirect) useReports()
+        reports.invalidate()
         gossip.tick()
         state.tick()
+        storeReading.tick()
         state.selectStatePeer()?.let {
             gossip.send(it.member, PeerMessage.StateRequest(configuration.offset, directory.offset))
         }
@@ -127,6 +165,8 @@
             is PeerMessage.Gossip -> handleGossip(message)
             is PeerMessage.StateRequest -> answerStateRequest(frame, message)
             is PeerMessage.SharedState -> state.applyPeerState(message)
+            is FleetSummary -> gossipIfChanged { handleSummary(message) }
+            is PlacementMessage -> gossipIfChanged { handlePlacement(frame, message) }
             else -> out.log(LogEvent.PEER_REFUSED, "peer" to frame.sender, "reason" to "unexpected message type")
         }
     }
@@ -135,12 +175,91 @@
         val peer = peers.receive(message) ?: return@gossipIfChanged
         val last = peer.lastMessage
         peer.lastMessage = message
+        if (message.isReport) coordinators.reported()
+        reports.invalidate()
+        outcomes.applyReport(message.outcomes)
         quotas.applyReport(message, last)
         retries.applyReport(message.attempts, last?.attempts.orEmpty())
         loads.applyReport(message.member.host, message.loads)
+        remote.reported(message.member.host, message.grants)
+        if (last?.usage != message.usage || last.loads != message.loads) {
+            summaries.sendWithin(RoutingTimes.SUMMARY_DELAY)
+        }
+        requests.placeAll()
+    }
+
+    private fun handleSummary(message: FleetSummary) {
+        if (message.member.host == self.host || !coordinators.receive(message)) return
+        peers.register(message.member)
+        peers[message.member.host]?.let { peers.hear(it, acknowledged = self.incarnation.hash in message.alive) }
+        peers.mention(message.alive)
+        message.totals?.takeIf { !coordinators.isDirect && !coordinators.selfCoordinates }?.let(::useTotals)
+        if (state.shouldRequest(message)) {
+            send(message.member, PeerMessage.StateRequest(configuration.offset, directory.offset))
+        }
         requests.placeAll()
     }
 
+    private fun useTotals(totals: FleetSummary.Totals) {
+        quotas.applySummary(totals.usage, totals.settled)
+        retries.applyTotals(totals.attempts)
+        loads.applyTotals(totals.loads)
+        reports.useTotals(totals)
+    }
+
+    /** Forgets the totals of coordinators, because this host receives the reports of the others itself. */
+    private fun useReports() {
+        loads.dropTotals()
+        reports.useTotals(null)
+    }
+
+    private fun buildTotals() = FleetSummary.Totals(
+        settled = quotas.settled,
+        usage = quotas.usage,
+        loads = loads.totals,
+        attempts = retries.buildTotals(),
+        changing = reports.allChanging.toList(),
+        unreachable = (reports.allUnreachable + placement.unreachable()).toList(),
+    )
+
+    private fun handlePlacement(frame: PeerFrame, message: PlacementMessage) {
+        val from = frame.sender
+        when (message) {
+            is PlacementMessage.Request -> placeForPeer(frame, message)
+
+            is PlacementMessage.Cancelled -> remote.cancel(from, message.number)
+
+            is PlacementMessage.Queued -> delegated.queued(from, message)
+
+            is PlacementMessage.Placed -> {
+                gossip.sendWithin(RoutingTimes.GOSSIP_DELAY)
+                val prefill = message.prefill?.let { directory[it] }
+                delegated.granted(from, frame.incarnation, message)
+                    ?.let { requests.granted(it, directory[message.server], prefill, message.tokensAhead) }
+            }
+
+            is PlacementMessage.Refused ->
+                delegated.take(from, message)?.let { requests.refused(it, message.waitMillis.milliseconds) }
+
+            is PlacementMessage.Declined -> {
+                coordinators.suspect(from)
+                delegated.take(from, message)?.let { requests.place(it.service.id) }
+            }
+        }
+    }
+
+    private fun placeForPeer(frame: PeerFrame, message: PlacementMessage.Request) {
+        val peer = peers[frame.sender]?.member?.takeIf { it.incarnation == frame.incarnation } ?: return
+        val service = configuration.service(message.service)
+        if (service == null || !ready) {
+            send(peer, PlacementMessage.Declined(message.number))
+        } else {
+            requests.accept(RemoteRequest(peer, message, service, out.now))
+        }
+    }
+
+    private fun send(to: Member, message: PeerMessage): Unit = gossip.send(to, message)
+
     private fun answerStateRequest(frame: PeerFrame, request: PeerMessage.StateRequest) {
         val peer = peers.all.firstOrNull { it.member.incarnation == frame.incarnation } ?: return
         val newer = configuration.entry?.takeIf { it.offset > request.configuration }
@@ -150,14 +269,6 @@
         gossip.send(peer.member, PeerMessage.SharedState(newer, entries, known))
     }
 
-    private inner class ServerReports : Placement.Reports {
-        override fun isChanging(server: BackendServerId): Boolean = server in balance.changing ||
-            peers.all.any { peers.isAlive(it) && server in it.lastMessage?.changing.orEmpty() }
-
-        override fun isUnreachableForPeer(server: BackendServerId): Boolean =
-            peers.all.any { peers.isAlive(it) && server in it.lastMessage?.unreachable.orEmpty() }
-    }
-
     private fun updateReady() {
         val next = state.complete && !drain.active
         if (next == ready) return
@@ -169,12 +280,15 @@
             "directory" to directory.offset,
         )
         out.emit(RoutingEffect.ReadyChanged(ready))
+        // The other hosts must not wait for answers of a host that stops.
+        summaries.sendWithin(Duration.ZERO)
     }
 
     private inner class StateSink : StateFollower.Sink {
         override fun configurationChanged(configuration: RoutingConfiguration) {
             quotas.configure(configuration.organisations)
             out.emit(RoutingEffect.LimitsChanged(configuration.limits))
+            summaries.sendWithin(Duration.ZERO)
             requests.placeAll()
         }
 
@@ -182,7 +296,16 @@
 
         override fun serversChanged() {
             placement.retainKnownServers()
+            summaries.sendWithin(Duration.ZERO)
             requests.placeAll()
         }
     }
+
+    private companion object {
+        /** A coordinator that fewer hosts report to does not know enough of the load. */
+        const val MIN_HEARD_SHARE = 0.5
+
+        /** Upper limit of the number before the first question to a coordinator. */
+        const val MAX_FIRST_NUMBER = 1L shl 40
+    }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
@@ -67,4 +67,40 @@
 
     /** A prefill result is fetched at least this long before it expires. */
     val HANDLE_MARGIN: Duration = 60.milliseconds
+
+    /** Interval between summaries of a coordinator if nothing changes; less than a third of [PEER_TIMEOUT]. */
+    val SUMMARY_INTERVAL: Duration = 300.milliseconds
+
+    /** Changes of loads and usage within this time are batched into one summary. */
+    val SUMMARY_DELAY: Duration = 150.milliseconds
+
+    /** A coordinator answers within a few milliseconds; TCP retransmits a lost packet after 200 ms or more. */
+    val PLACEMENT_TIMEOUT: Duration = 150.milliseconds
+
+    /** A coordinator that did not answer a placement request gets no further ones for this long. */
+    val SUSPICION_TIME: Duration = 1.seconds
+
+    /** A host waits this much longer than its coordinator before it refuses a queued request itself. */
+    val PLACEMENT_GRACE: Duration = 300.milliseconds
+
+    /** A grant that its host has not confirmed after this long was lost with its connection or its host. */
+    val GRANT_EXPIRY: Duration = 2.seconds
+
+    /**
+     * A host reads the store itself when no coordinator has read it within this time. The shortest bound for changes
+     * of the configuration in a large fleet is 3 s.
+     */
+    val STORE_NEWS_LIMIT: Duration = 1600.milliseconds
+
+    /** A host that has started to read the store itself continues for at least this long. */
+    val STORE_READING_TIME: Duration = 3.seconds
+
+    /** Waiting time of a read for a new configuration by hosts that inform others, below [STORE_NEWS_LIMIT]. */
+    val COORDINATOR_READ_WAIT: Duration = 800.milliseconds
+
+    /** Waiting time of a read for a new configuration by hosts that inform nobody. */
+    val READ_WAIT: Duration = 1200.milliseconds
+
+    /** Minimum interval between reads of the list of hosts. */
+    val HOSTS_READ_INTERVAL: Duration = 2.seconds
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ServerHealth.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ServerHealth.kt
@@ -16,6 +16,10 @@
     var failureShare = 0.0
         private set
 
+    /** Time of the latest success, at this or another host; null if there was none. */
+    var succeededAt: Duration? = null
+        private set
+
     /** Number of recorded successes and failures. */
     var samples = 0
         private set
@@ -33,8 +37,9 @@
     /** Whether the server was unreachable in the latest call and is still ejected. */
     fun isUnreachable(now: Duration): Boolean = consecutiveUnreachable > 0 && now < ejectedUntil
 
-    fun succeeded() {
+    fun succeeded(now: Duration) {
         consecutiveUnreachable = 0
+        succeededAt = now
         record(0.0)
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ServerLoads.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ServerLoads.kt
@@ -25,6 +25,7 @@
     private val own = HashMap<BackendServerId, Load>()
     private val total = HashMap<BackendServerId, Load>()
     private val reports = HashMap<HostId, Report>()
+    private var othersReport: Report? = null
 
     /** Number of changes of this host's own loads so far. */
     var changeCount = 0L
@@ -39,7 +40,11 @@
         get() = own.filterValues { it.requests > 0 }.map { (id, load) -> SharedLoad(id, load.requests, load.tokens) }
 
     /** Age of the oldest unexpired report of a peer; null if there is none. */
-    val oldestReportAge: Duration? get() = reports.values.maxOfOrNull { out.now - it.at }
+    val oldestReportAge: Duration? get() = (reports.values + listOfNotNull(othersReport)).maxOfOrNull { out.now - it.at }
+
+    /** Loads of all hosts, including granted capacity. */
+    val totals: List<SharedLoad>
+        get() = total.filterValues { it.requests > 0 }.map { (id, load) -> SharedLoad(id, load.requests, load.tokens) }
 
     /** Requests of all hosts at [id]. */
     fun requests(id: BackendServerId): Int = total[id]?.requests ?: 0
@@ -60,9 +65,40 @@
         loads.forEach { total(it.server).add(it.requests, it.tokens) }
     }
 
+    /** Replaces the loads of the other hosts by [totals] of all hosts, which include those of this host. */
+    fun applyTotals(totals: List<SharedLoad>) {
+        dropTotals()
+        val others = totals.map { load ->
+            val own = own[load.server]
+            SharedLoad(
+                load.server,
+                (load.requests - (own?.requests ?: 0)).coerceAtLeast(0),
+                (load.tokens - (own?.tokens ?: 0)).coerceAtLeast(0),
+            )
+        }
+        othersReport = Report(others, out.now)
+        others.forEach { total(it.server).add(it.requests, it.tokens) }
+    }
+
+    /** Forgets the totals of a coordinator, because this host receives the reports of the others itself. */
+    fun dropTotals() {
+        othersReport?.loads?.forEach { total(it.server).add(-it.requests, -it.tokens) }
+        othersReport = null
+    }
+
+    /** Counts capacity that this host has granted to another one, which has not reported it yet. */
+    fun addGrant(id: BackendServerId, tokens: Int) = total(id).add(1, tokens)
+
+    /** Removes capacity added by [addGrant]. */
+    fun removeGrant(id: BackendServerId, tokens: Int) = total(id).add(-1, -tokens)
+
     /** Removes expired reports of silent peers; the requests of a crashed host have ended with its connections. */
-    fun tick() = reports.filterValues { out.now - it.at > RoutingTimes.LOAD_REPORT_EXPIRY }
-        .keys.toList().forEach(::removeReport)
+    fun tick() {
+        reports.filterValues(::isExpired).keys.toList().forEach(::removeReport)
+        if (othersReport?.let(::isExpired) == true) dropTotals()
+    }
+
+    private fun isExpired(report: Report) = out.now - report.at > RoutingTimes.LOAD_REPORT_EXPIRY
 
     private fun removeReport(peer: HostId) {
         reports.remove(peer)?.loads?.forEach { total(it.server).add(-it.requests, -it.tokens) }
--- /dev/null
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ServerOutcomes.kt
@@ -0,0 +1,83 @@
+package io.anvilvalve.rules.routing
+
+import io.anvilvalve.api.peer.ServerOutcome
+import io.anvilvalve.api.routing.Backend
+import io.anvilvalve.api.routing.EngineSpec
+import io.anvilvalve.api.routing.ServiceId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Records how calls to backend servers end, at this host and at the others, so that a slow or failing server is known
+ * after a few calls of the whole fleet.
+ */
+internal class ServerOutcomes(
+    private val out: Outbox,
+    private val directory: Directory,
+    private val placement: Placement,
+    private val balance: StageBalance,
+    private val engineOf: (ServiceId) -> EngineSpec?,
+) {
+    private val pending = ArrayList<ServerOutcome>()
+
+    fun answered(server: Backend, elapsed: Duration, memoryTokens: Int) =
+        record(server, ServerOutcome.Kind.ANSWERED, elapsed, memoryTokens)
+
+    fun prefilled(server: Backend, elapsed: Duration, processedTokens: Int, promptTokens: Int) =
+        record(server, ServerOutcome.Kind.PREFILLED, elapsed, processedTokens, promptTokens)
+
+    fun failed(server: Backend) = record(server, ServerOutcome.Kind.FAILED)
+
+    fun rejected(server: Backend) = record(server, ServerOutcome.Kind.REJECTED)
+
+    /** Applies outcomes that another host reports. */
+    fun applyReport(outcomes: List<ServerOutcome>) = outcomes.forEach { outcome ->
+        directory[outcome.server]?.let { apply(it, outcome) }
+    }
+
+    /** Outcomes at this host since the last call, for reporting to other hosts. */
+    fun drain(): List<ServerOutcome> = pending.toList().also { pending.clear() }
+
+    private fun record(
+        server: Backend,
+        kind: ServerOutcome.Kind,
+        elapsed: Duration = Duration.ZERO,
+        tokens: Int = 0,
+        promptTokens: Int = 0,
+    ) {
+        val outcome = ServerOutcome(server.id, kind, elapsed.inWholeMilliseconds.toInt(), tokens, promptTokens)
+        if (pending.size < MAX_PENDING) pending += outcome
+        apply(server, outcome)
+    }
+
+    private fun apply(server: Backend, outcome: ServerOutcome) {
+        val health = placement.health(server)
+        val elapsed = outcome.millis.milliseconds
+        when (outcome.kind) {
+            ServerOutcome.Kind.ANSWERED -> {
+                health.succeeded(out.now)
+                health.recordServiceTime(elapsed)
+                engineOf(server.service)?.let { balance.recordDecode(elapsed, outcome.tokens, it) }
+            }
+
+            ServerOutcome.Kind.PREFILLED -> {
+                health.succeeded(out.now)
+                if (outcome.tokens > 0) {
+                    health.recordServiceTime(elapsed * TOKENS_PER_UNIT / outcome.tokens)
+                    balance.recordPrefill(elapsed * outcome.promptTokens / outcome.tokens)
+                }
+            }
+
+            ServerOutcome.Kind.FAILED -> health.failed(out.now)
+
+            ServerOutcome.Kind.REJECTED -> health.rejected(out.now)
+        }
+    }
+
+    private companion object {
+        const val TOKENS_PER_UNIT = 1_000
+
+        /** Limits a message after a time without peers; the oldest outcomes decide nothing any more. */
+        const val MAX_PENDING = 100
+    }
+}
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuota.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuota.kt
@@ -21,7 +21,10 @@
     recorded: RecordedUsage? = null,
 ) {
     private var rule = rule
-    private val used = SlidingWindowCounter(terms.window)
+    private val own = SlidingWindowCounter(terms.window)
+
+    /** Admissions of the other hosts, and of all hosts before this one started. */
+    private val others = SlidingWindowCounter(terms.window)
 
     /** Tokens that this host has admitted since it started. */
     var admitted: Long = 0
@@ -35,7 +38,7 @@
     init {
         // All hosts may have restarted at once, and their admissions before the restart still count.
         recorded?.let { restore(it.slices, now) }
-        used.addEvenly((limit * INITIAL_USAGE_SHARE - used.sum(now)).coerceAtLeast(0.0), now)
+        others.addEvenly((limit * INITIAL_USAGE_SHARE - others.sum(now)).coerceAtLeast(0.0), now)
     }
 
     private val limit: Double
@@ -46,35 +49,35 @@
     }
 
     /** Tokens that all hosts admitted in the window, as far as this host knows. */
-    fun used(now: Duration): Long = used.sum(now).toLong()
+    fun used(now: Duration): Long = usedTokens(now).toLong()
 
     /**
      * Whether usage is so high that a restart without a record, which assumes [INITIAL_USAGE_SHARE], could exceed the
      * quota.
      */
-    fun isNear(now: Duration): Boolean = limit > 0.0 && used.sum(now) > limit * NEAR_QUOTA_SHARE
+    fun isNear(now: Duration): Boolean = limit > 0.0 && usedTokens(now) > limit * NEAR_QUOTA_SHARE
 
     /**
      * Whether usage near the quota has risen by more than [RISE_SHARE] of the quota since its lowest value after the
      * last record, so that a new record must be written at once.
      */
     fun hasRisen(now: Duration): Boolean {
-        lowestUsed = minOf(lowestUsed, used.sum(now))
-        return isNear(now) && used.sum(now) - lowestUsed > limit * RISE_SHARE
+        lowestUsed = minOf(lowestUsed, usedTokens(now))
+        return isNear(now) && usedTokens(now) - lowestUsed > limit * RISE_SHARE
     }
 
     /** Usage to write to the store. */
-    fun record(now: Duration) = RecordedUsage(id, used.slices(now))
+    fun record(now: Duration) = RecordedUsage(id, own.slices(now).zip(others.slices(now), Long::plus))
 
     /** Marks the usage at [now] as being written to the store. */
     fun markRecorded(now: Duration) {
-        lowestUsed = used.sum(now)
+        lowestUsed = usedTokens(now)
     }
 
     /** Reserves [cost] tokens; returns false if fewer are left in the [share] of the quota that the alive hosts may use. */
     fun tryReserve(cost: Int, share: Double, now: Duration): Boolean {
         if (limit <= 0.0) return true
-        if (used.sum(now) + cost > allowed(share)) return false
+        if (usedTokens(now) + cost > allowed(share)) return false
         add(cost.toDouble(), now)
         return true
     }
@@ -83,20 +86,20 @@
     fun release(cost: Int, now: Duration) = add(-cost.toDouble(), now)
 
     /** Adds the tokens that a peer admitted since its last report. */
-    fun addPeerUsage(tokens: Long, now: Duration) = used.add(tokens.toDouble(), now)
+    fun addPeerUsage(tokens: Long, now: Duration) = others.add(tokens.toDouble(), now)
 
     /** Time until [cost] tokens can be reserved at the configured rate. */
     fun waitFor(cost: Int, share: Double, now: Duration): Duration {
         val rate = limit / terms.window.toDouble(DurationUnit.SECONDS)
         if (rate <= 0.0) return LONGEST_WAIT
-        val missing = used.sum(now) + cost - allowed(share)
+        val missing = usedTokens(now) + cost - allowed(share)
         return (missing / rate * MILLIS_PER_SECOND).toLong().milliseconds.coerceIn(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
-    /** Replaces the usage with the [known] usage of a peer, spread evenly over the window. */
+    /** Replaces the usage of the others by the [known] usage of all hosts, spread evenly over the window. */
     fun replaceUsage(known: Long, now: Duration) {
-        used.clear()
-        used.addEvenly(known.toDouble(), now)
+        others.clear()
+        others.addEvenly((known - own.sum(now)).coerceAtLeast(0.0), now)
     }
 
     /**
@@ -104,13 +107,15 @@
      * they are assumed to equal those of the slices just before it, up to the quota.
      */
     private fun restore(slices: List<Long>, now: Duration) {
-        used.restore(slices, now)
+        others.restore(slices, now)
         val unrecorded = slices.take(UNRECORDED_SLICES).sum().toDouble()
-        used.add(minOf(unrecorded, (limit - used.sum(now)).coerceAtLeast(0.0)), now)
+        others.add(minOf(unrecorded, (limit - others.sum(now)).coerceAtLeast(0.0)), now)
     }
 
+    private fun usedTokens(now: Duration) = own.sum(now) + others.sum(now)
+
     private fun add(tokens: Double, now: Duration) {
-        used.add(tokens, now)
+        own.add(tokens, now)
         admitted += tokens.toLong()
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuotas.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuotas.kt
@@ -9,7 +9,11 @@
 import kotlin.time.Duration
 
 /** Quotas of all organisations, enforced by all hosts together. */
-internal class SharedQuotas(private val out: Outbox, private val peers: Peers, private val terms: QuotaTerms) {
+internal class SharedQuotas(
+    private val out: Outbox,
+    private val coordinators: Coordinators,
+    private val terms: QuotaTerms,
+) {
     private val quotas = LinkedHashMap<OrganisationId, SharedQuota>()
 
     val usage: List<SharedUsage>
@@ -63,7 +67,7 @@
     /** Reserves [cost] tokens of [id]; returns null on success, otherwise the time until they can be reserved. */
     fun reserve(id: OrganisationId, cost: Int): Duration? {
         val quota = quotas[id] ?: return null
-        val share = peers.aliveShare
+        val share = coordinators.fleetShare
         return if (quota.tryReserve(cost, share, out.now)) null else quota.waitFor(cost, share, out.now)
     }
 
@@ -90,6 +94,13 @@
         }
     }
 
+    /** Replaces the usage of the others by the [usage] that a coordinator knows; [isSettled] as in its message. */
+    fun applySummary(usage: List<SharedUsage>, isSettled: Boolean) {
+        if (settled && !isSettled) return
+        if (isSettled && quotas.isNotEmpty()) adoptedFromPeer = true
+        usage.forEach { quotas[it.organisation]?.replaceUsage(it.known, out.now) }
+    }
+
     private companion object {
         /** A record of 60 organisations takes about 8 KB; the slack covers the smaller quotas. */
         const val MAX_RECORDS = 60
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedRetries.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedRetries.kt
@@ -2,6 +2,7 @@
 
 import io.anvilvalve.api.peer.SharedAttempts
 import io.anvilvalve.api.routing.ServiceId
+import kotlin.time.Duration
 
 /**
  * Retry budget of each service across all hosts.
@@ -9,10 +10,28 @@
  * A host counts its own calls at once and those of its peers when they report them. It uses [USABLE_SHARE] of the
  * budget, so that hosts that decide at the same time stay within it.
  */
-internal class SharedRetries(private val out: Outbox, private val peers: Peers, private val settings: RoutingSettings) {
+internal class SharedRetries(
+    private val out: Outbox,
+    private val coordinators: Coordinators,
+    private val settings: RoutingSettings,
+) {
+    /** Counts of this host in the window, and of the others as far as they are known. */
+    private class Count(window: Duration) {
+        val own = SlidingWindowCounter(window)
+        val others = SlidingWindowCounter(window)
+
+        fun sum(now: Duration) = own.sum(now) + others.sum(now)
+
+        /** Replaces the count of the others by a [total] of all hosts. */
+        fun replaceTotal(total: Long, now: Duration) {
+            others.clear()
+            others.addEvenly((total - own.sum(now)).coerceAtLeast(0.0), now)
+        }
+    }
+
     private class Counts(settings: RoutingSettings) {
-        val requests = SlidingWindowCounter(settings.retryWindow)
-        val retries = SlidingWindowCounter(settings.retryWindow)
+        val requests = Count(settings.retryWindow)
+        val retries = Count(settings.retryWindow)
         var ownRequests = 0L
         var ownRetries = 0L
     }
@@ -24,10 +43,15 @@
         SharedAttempts(id, it.ownRequests, it.ownRetries, queues.queuedTokens(id), queues.head(id))
     }
 
+    /** Counts of all hosts in the window. */
+    fun buildTotals(): List<SharedAttempts> = services.map { (id, it) ->
+        SharedAttempts(id, it.requests.sum(out.now).toLong(), it.retries.sum(out.now).toLong(), queuedTokens = 0)
+    }
+
     fun recordRequest(service: ServiceId) {
         val counts = counts(service)
         counts.ownRequests++
-        counts.requests.add(1.0, out.now)
+        counts.requests.own.add(1.0, out.now)
     }
 
     /** Reserves one retry from the budget; returns false if the budget is used up. */
@@ -35,7 +59,7 @@
         val counts = counts(service)
         if (counts.retries.sum(out.now) + 1 > allowed(counts)) return false
         counts.ownRetries++
-        counts.retries.add(1.0, out.now)
+        counts.retries.own.add(1.0, out.now)
         return true
     }
 
@@ -45,15 +69,22 @@
         for (now in attempts) {
             val known = before[now.service] ?: continue
             val counts = counts(now.service)
-            counts.requests.add((now.requests - known.requests).toDouble(), out.now)
-            counts.retries.add((now.retries - known.retries).toDouble(), out.now)
+            counts.requests.others.add((now.requests - known.requests).toDouble(), out.now)
+            counts.retries.others.add((now.retries - known.retries).toDouble(), out.now)
         }
     }
 
+    /** Replaces the counts of the others by the [totals] that a coordinator knows. */
+    fun applyTotals(totals: List<SharedAttempts>) = totals.forEach {
+        val counts = counts(it.service)
+        counts.requests.replaceTotal(it.requests, out.now)
+        counts.retries.replaceTotal(it.retries, out.now)
+    }
+
     private fun allowed(counts: Counts): Double {
         val budget = counts.requests.sum(out.now) * settings.retryRatio + settings.retryExtra
         // A host that receives no messages from peers does not know their calls, so it uses only its own share.
-        return budget * USABLE_SHARE * peers.aliveShare
+        return budget * USABLE_SHARE * coordinators.fleetShare
     }
 
     private fun counts(service: ServiceId) = services.getOrPut(service) { Counts(settings) }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import io.anvilvalve.api.BinaryCodec
 import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.FleetSummary
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.routing.RecordedUsage
@@ -13,6 +14,7 @@
 import io.anvilvalve.api.routing.StoredEntry
 import kotlinx.serialization.builtins.ListSerializer
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Applies the state in the store, read from the store itself or from peers while the store does not answer this host.
@@ -41,6 +43,7 @@
 
     private val readStatuses = StateTopic.entries.associateWith { ReadStatus() }
     private var requestedAt: Duration? = null
+    private var requestedOffsets: Pair<Long, Long>? = null
 
     /** Whether this host has the state that it needs to serve. */
     val complete: Boolean get() = configuration.current != null && directory.offset >= 0
@@ -74,6 +77,21 @@
         return known.maxByOrNull { it.lastMessage?.directory ?: -1 }?.also { requestedAt = out.now }
     }
 
+    /** Whether the state that [summary] names is newer than this host's and has not just been requested. */
+    fun shouldRequest(summary: FleetSummary): Boolean {
+        val offsets = summary.configuration to summary.directory
+        if (offsets.first <= configuration.offset && offsets.second <= directory.offset) return false
+        val isRepeated = requestedOffsets == offsets && requestedAt?.let { out.now - it < REQUEST_TIMEOUT } == true
+        if (isRepeated) return false
+        requestedOffsets = offsets
+        requestedAt = out.now
+        return true
+    }
+
+    /** Time since configuration and directory were both read from the store; infinite if one never was. */
+    val storeAge: Duration
+        get() = maxOf(readAge(StateTopic.CONFIGURATION), readAge(StateTopic.DIRECTORY))
+
     fun tick() {
         if (directory.tick()) sink.serversChanged()
     }
@@ -144,14 +162,19 @@
         out.log(LogEvent.STORE_REGAINED, "topic" to topic, "after_ms" to (out.now - lostAt).inWholeMilliseconds)
     }
 
-    private fun isStale(topic: StateTopic): Boolean {
-        val readAt = readStatuses.getValue(topic).readAt ?: return true
-        return out.now - readAt > RoutingTimes.STORE_READ_TIMEOUT
-    }
+    private fun isStale(topic: StateTopic): Boolean = readAge(topic) > RoutingTimes.STORE_READ_TIMEOUT
+
+    private fun readAge(topic: StateTopic): Duration =
+        readStatuses.getValue(topic).readAt?.let { out.now - it } ?: Duration.INFINITE
 
     /** Just after an outage of the store, entries may be missing that their servers are about to register again. */
     private fun removalGrace(): Duration {
         val regainedAt = readStatuses.getValue(StateTopic.DIRECTORY).regainedAt ?: return Duration.ZERO
         return (regainedAt + RoutingTimes.REGISTRATION_GRACE - out.now).coerceAtLeast(Duration.ZERO)
     }
+
+    private companion object {
+        /** A peer answers within a few milliseconds; on slow links, the state of a large deployment takes longer. */
+        val REQUEST_TIMEOUT = 300.milliseconds
+    }
 }
--- /dev/null
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
@@ -0,0 +1,225 @@
+package io.anvilvalve.rules.routing
+
+import arrow.core.getOrElse
+import arrow.core.right
+import io.anvilvalve.api.BinaryCodec
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.peer.PeerFrame
+import io.anvilvalve.api.routing.Backend
+import io.anvilvalve.api.routing.RoutingConfiguration
+import io.anvilvalve.api.routing.StatePage
+import io.anvilvalve.api.routing.StateTopic
+import io.anvilvalve.api.routing.StoredEntry
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A fleet of [size] hosts in virtual time with a store, backend servers that refuse calls beyond slots and queue, and a
+ * network that delivers every message in the next step. Hosts can be killed, frozen and cut off from the store.
+ */
+internal class FleetSimulation(
+    size: Int,
+    private val configuration: RoutingConfiguration = configuration(),
+    private val backends: List<Backend> = listOf(plain("p1"), plain("p2")),
+    seed: Long = 1,
+) {
+    /** One host of the fleet. */
+    inner class Host(var fixture: RoutingFixture) {
+        val name: String get() = fixture.self.host.value
+        var isAlive = true
+        var isFrozen = false
+        var readsStore = true
+        var followsStore = true
+        var framesSent = 0
+        val received = ArrayDeque<() -> List<RoutingEffect>>()
+    }
+
+    private class Running(val host: Host, val ends: Duration, val event: () -> RoutingEvent, val server: BackendServerId?)
+
+    private val random = Random(seed)
+    private val decoder = TableDecoder()
+    private val running = ArrayList<Running>()
+    private val occupied = HashMap<BackendServerId, Int>()
+    private val arrivedAt = HashMap<Pair<Host, RequestId>, Duration>()
+    private var offset = 1L + backends.size
+    private var stored: StoredEntry? = null
+
+    var now: Duration = 1.seconds
+        private set
+
+    val hosts: List<Host> = (1..size).map { Host(start("h%02d".format(it), incarnation = 1)) }
+
+    /** Times from the arrival of a request to its first call to a backend server. */
+    val placementTimes = ArrayList<Duration>()
+    var rejected = 0
+        private set
+    var refused = 0
+        private set
+    var forwarded = 0
+        private set
+
+    init {
+        hosts.forEach(::readHosts)
+    }
+
+    val coordinator: Host get() = hosts.first { it.isAlive && !it.isFrozen }
+
+    /** Advances the time; [arrivals] requests a second arrive at random hosts that are alive. */
+    fun run(time: Duration, arrivals: Int = 0, path: String = "/drawers/1", cost: Int = 0) {
+        val end = now + time
+        while (now < end) {
+            now += STEP
+            hosts.forEach { it.fixture.now = now }
+            deliver()
+            endCalls()
+            if (random.nextInt(STEPS_PER_SECOND) < arrivals) arrive(randomHost(), path, cost)
+            if (now.inWholeMilliseconds % TICK_MILLIS == 0L) tick()
+        }
+    }
+
+    fun arrive(host: Host, path: String, cost: Int = 0) {
+        val arrival = host.fixture.arrive(path, cost, outputTokens = 0)
+        arrivedAt[host to arrival.id] = now
+        perform(host, arrival.effects)
+    }
+
+    /** Ends the process of [host]; its connections are closed. */
+    fun kill(host: Host) {
+        host.isAlive = false
+        host.received.clear()
+        running.filter { it.host === host }.forEach { call -> call.server?.let { occupied.merge(it, -1, Int::plus) } }
+        running.removeAll { it.host === host }
+    }
+
+    /** Starts the process of [host] again. */
+    fun restart(host: Host) {
+        host.fixture = start(host.name, incarnation = 2)
+        host.isAlive = true
+        host.followsStore = true
+        hosts.filter { it.isAlive }.forEach(::readHosts)
+    }
+
+    /** Writes a new configuration to the store. */
+    fun publish(next: RoutingConfiguration) {
+        stored = StoredEntry("config", offset++, decoder.encode(next))
+    }
+
+    private fun start(name: String, incarnation: Int): RoutingFixture {
+        val number = name.drop(1).toInt()
+        return RoutingFixture(
+            member(name, incarnation, capacity = if (number <= LARGE_HOSTS) LARGE else SMALL),
+            configuration,
+            backends,
+            now = now,
+            decoder = decoder,
+        )
+    }
+
+    private fun readHosts(host: Host) {
+        if (!host.readsStore) return
+        val entries = hosts.map {
+            StoredEntry(it.name, 0, BinaryCodec.encode(Member.serializer(), it.fixture.self))
+        }
+        perform(host, host.fixture.read(StateTopic.HOSTS, entries))
+    }
+
+    private fun tick() {
+        for (host in hosts.filter { it.isAlive && !it.isFrozen }) {
+            if (host.readsStore && host.followsStore) readStore(host)
+            perform(host, host.fixture.send(RoutingEvent.Tick))
+        }
+    }
+
+    private fun readStore(host: Host) {
+        val entries = listOfNotNull(stored)
+        listOf(StateTopic.CONFIGURATION to entries, StateTopic.DIRECTORY to emptyList()).forEach { (topic, read) ->
+            val page = StatePage(read, offset, complete = false)
+            perform(host, host.fixture.send(RoutingEvent.StateRead(topic, page.right())))
+        }
+    }
+
+    private fun deliver() {
+        for (host in hosts.filter { it.isAlive && !it.isFrozen }) {
+            val messages = host.received.toList()
+            host.received.clear()
+            messages.forEach { perform(host, it()) }
+        }
+    }
+
+    private fun endCalls() {
+        val ended = running.filter { it.ends <= now }
+        running.removeAll(ended)
+        for (call in ended) {
+            call.server?.let { occupied.merge(it, -1, Int::plus) }
+            if (!call.host.isFrozen) perform(call.host, call.host.fixture.send(call.event()))
+        }
+    }
+
+    private fun perform(host: Host, effects: List<RoutingEffect>) {
+        for (effect in effects) {
+            when (effect) {
+                is RoutingEffect.SendFrame -> send(host, effect)
+                is RoutingEffect.Forward -> forward(host, effect)
+                is RoutingEffect.Prefill -> prefill(host, effect)
+                is RoutingEffect.Refuse -> refused++
+                is RoutingEffect.FollowStore -> host.followsStore = effect.active
+                is RoutingEffect.ReadHosts -> readHosts(host)
+                else -> Unit
+            }
+        }
+        host.fixture.effects.clear()
+    }
+
+    private fun send(host: Host, effect: RoutingEffect.SendFrame) {
+        host.framesSent++
+        val to = hosts.firstOrNull { it.isAlive && it.fixture.self == effect.to } ?: return
+        val from = host.fixture.self
+        // Messages pass the codec, so that one that does not survive it is found.
+        val bytes = BinaryCodec.encode(PeerFrame.serializer(), effect.frame)
+        val frame = BinaryCodec.decode(PeerFrame.serializer(), bytes).getOrElse { error(it) }
+        to.received += { to.fixture.receive(from, frame.message) }
+    }
+
+    private fun forward(host: Host, effect: RoutingEffect.Forward) {
+        arrivedAt.remove(host to effect.id)?.let { placementTimes += now - it }
+        val server = effect.server
+        if ((occupied[server.id] ?: 0) >= server.slots + QUEUE) {
+            rejected++
+            val refusal = RoutingEvent.AttemptEnded(effect.id, effect.attempt, AttemptResult.NotExecuted(FULL))
+            running += Running(host, now + STEP, { refusal }, server = null)
+            return
+        }
+        forwarded++
+        occupied.merge(server.id, 1, Int::plus)
+        val time = (MIN_CALL_MILLIS + random.nextInt(MIN_CALL_MILLIS)).milliseconds
+        val end = RoutingEvent.AttemptEnded(effect.id, effect.attempt, AttemptResult.Complete)
+        running += Running(host, now + time, { end }, server.id)
+    }
+
+    private fun prefill(host: Host, effect: RoutingEffect.Prefill) {
+        arrivedAt.remove(host to effect.id)?.let { placementTimes += now - it }
+        val end = RoutingEvent.PrefillEnded(effect.id, effect.attempt, PrefillResult.Done("handle-${effect.id.value}"))
+        running += Running(host, now + PREFILL_TIME, { end }, server = null)
+    }
+
+    private fun randomHost() = hosts.filter { it.isAlive && !it.isFrozen }.random(random)
+
+    private companion object {
+        val STEP = 5.milliseconds
+        const val STEPS_PER_SECOND = 200
+        const val TICK_MILLIS = 25L
+        const val MIN_CALL_MILLIS = 60
+        val PREFILL_TIME = 100.milliseconds
+        const val FULL = 503
+
+        /** Calls that a server queues beyond its slots. */
+        const val QUEUE = 1
+        const val LARGE_HOSTS = 5
+        const val LARGE = 1_500
+        const val SMALL = 270
+    }
+}
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
@@ -39,8 +39,9 @@
     private val objects = ArrayList<Any>()
 
     fun encode(value: Any): ByteArray {
-        objects += value
-        return byteArrayOf((objects.size - 1).toByte())
+        val known = objects.indexOfFirst { it === value }
+        if (known < 0) objects += value
+        return byteArrayOf((if (known < 0) objects.size - 1 else known).toByte())
     }
 
     override fun configuration(value: ByteArray): Either<String, RoutingConfiguration> =
@@ -55,12 +56,13 @@
 internal val plainService = ServiceId("desk")
 internal val modelService = ServiceId("reader")
 
-internal fun member(host: String, start: Int = 1) = Member(
+internal fun member(host: String, start: Int = 1, capacity: Int = Member.STANDARD_CAPACITY) = Member(
     HostId(host),
     Incarnation("$host-$start"),
     "$host:1",
     DataCentreId("dc-1"),
     RegionId("region-1"),
+    capacity,
 )
 
 internal fun plain(id: String, leaving: Boolean = false, slots: Int = 2) =
@@ -122,8 +124,8 @@
     settings: RoutingSettings = RoutingSettings(),
     var now: Duration = 1.seconds,
     usage: ByteArray? = null,
+    private val decoder: TableDecoder = TableDecoder(),
 ) {
-    private val decoder = TableDecoder()
     private val reducer = RoutingReducer(self, decoder, settings, seed = 7)
     private var offset = 0L
     private var last = 0
--- a/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/HostSettings.kt
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/HostSettings.kt
@@ -27,8 +27,15 @@
      * Identity and location of the host.
      *
      * @property address IP address at which peers reach the host.
+     * @property capacity processor capacity, in thousandths of a core.
      */
-    data class Host(val id: String, val dataCentre: String, val region: String, val address: String)
+    data class Host(
+        val id: String,
+        val dataCentre: String,
+        val region: String,
+        val address: String,
+        val capacity: Int = 1_000,
+    )
 
     /**
      * Listener and limits of the callers' API.
--- a/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/RoutingSettingsFile.kt
+++ b/anvilvalve-settings/src/main/kotlin/io/anvilvalve/settings/RoutingSettingsFile.kt
@@ -13,6 +13,8 @@
 private const val OUTPUT = "output"
 private const val MS_PER_SECOND = 1_000
 private val countRange = 0..1_000_000_000
+private const val THOUSANDTHS = 1_000
+private val shareRange = 0.01..1_000.0
 private val secondsRange = 0.01..86_400.0
 
 internal fun SettingsCollector.routingSettings(): Either<List<SettingsFault>, RoutingHostSettings> = finish(
@@ -22,6 +24,7 @@
             dataCentre = name(HOST, "data_centre"),
             region = name(HOST, "region"),
             address = address(HOST, "address", default = null),
+            capacity = hostCapacity(),
         ),
         store = endpoint("store", "address"),
         callers = routingCallers(),
@@ -35,6 +38,12 @@
     ),
 )
 
+/** The processor share multiplied by the speed of the core, in thousandths. */
+private fun SettingsCollector.hostCapacity(): Int = (
+    decimal(HOST, "cpu_share", default = 1.0, shareRange) * decimal(HOST, "cpu_speed", default = 1.0, shareRange) *
+        THOUSANDTHS
+    ).toInt()
+
 private fun SettingsCollector.routingCallers(): RoutingHostSettings.Callers {
     val default = RoutingHostSettings.Callers(endpoint(CALLERS, "listen"))
     return default.copy(maxRequests = int(CALLERS, "max_requests", default.maxRequests, 1..4_000))
