Bound what a host reads from a server that sends without end

Cause: the body of an answer, an event and the line with the size of a chunk were read without a limit; the new tests ended with an exhausted heap.

Change: answers, prefill results, replies to orders, events and pages of the store have limits; sockets of the HTTP clients fail after too many bytes without a line feed. The client of hosts loads no trust store, and operations and metrics share one server.

Before, after: ResponseBodiesSpec and the new cases of RoutingHostSpec and EventFramesSpec fail before and pass after.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
@@ -74,7 +74,7 @@
     http.compressionStrategy = CompressionStrategy.NONE
     jetty.threadPool = QueuedThreadPool(threads + SPARE_THREADS, MIN_THREADS)
     jetty.modifyServer { it.errorHandler = JsonErrorHandler() }
-    jetty.addConnector { server, http -> connector(server, http.also(configureHttp), address, port, idleTimeout) }
+    addConnector(address, port, idleTimeout, configureHttp)
     routes.error(NOT_FOUND, "*") { ctx ->
         if (!ctx.res().isCommitted) ctx.res().sendError(ResultCode.UNKNOWN_ROUTE, status = NOT_FOUND)
     }
@@ -84,6 +84,14 @@
     }
 }
 
+/** Adds a connector at [address] and [port]; [configureHttp] adjusts its HTTP configuration. */
+internal fun JavalinConfig.addConnector(
+    address: String,
+    port: Int,
+    idleTimeout: Duration,
+    configureHttp: (HttpConfiguration) -> Unit = {},
+) = jetty.addConnector { server, http -> connector(server, http.also(configureHttp), address, port, idleTimeout) }
+
 private const val NOT_FOUND = 404
 
 private fun connector(server: Server, http: HttpConfiguration, address: String, port: Int, idleTimeout: Duration) =
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/OrderSender.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/OrderSender.kt
@@ -2,6 +2,7 @@
 
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.StateStore
+import io.anvilvalve.net.bytesAtMost
 import io.anvilvalve.rules.routing.OrderOutcome
 import io.anvilvalve.rules.routing.RoutingEffect
 import io.anvilvalve.rules.routing.RoutingEvent
@@ -65,7 +66,7 @@
 
     /** Returns null when no complete answer was received. */
     private fun call(request: Request): Reply? = try {
-        client.newCall(request).execute().use { Reply(it.code, it.body.bytes()) }
+        client.newCall(request).execute().use { Reply(it.code, it.body.bytesAtMost(MAX_REPLY_BYTES)) }
     } catch (_: IOException) {
         // The resulting outcome is logged with the order.
         null
@@ -73,6 +74,9 @@
 
     private companion object {
         const val CALL_TIMEOUT_SECONDS = 1L
+
+        /** A report lists the running requests of an engine. */
+        const val MAX_REPLY_BYTES = 256L * 1024
         val SUCCESS_STATUSES = 200..299
         const val FENCE_TOO_LOW = 412
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -4,6 +4,7 @@
 import io.anvilvalve.api.result.Executed
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.host.CallerWatch
+import io.anvilvalve.net.bytesAtMost
 import io.anvilvalve.rules.routing.AttemptResult
 import io.anvilvalve.rules.routing.InboundRequest
 import io.anvilvalve.rules.routing.PrefillResult
@@ -83,7 +84,7 @@
     private fun prefill(effect: RoutingEffect.Prefill) {
         val outbound = OutboundCall(effect.server.id.value, effect.terms, prefillOnly = true)
         val result = call(effect.attempt, upstream.prepare(received, effect.server, outbound)) { response ->
-            val body = response.body.bytes()
+            val body = response.body.bytesAtMost(MAX_PREFILL_RESULT_BYTES)
             if (response.code == OK) {
                 dialect.prefillHandle(body).fold({ PrefillResult.Failed(it) }, { PrefillResult.Done(it) })
             } else {
@@ -133,12 +134,17 @@
     }
 
     private fun keepFailure(response: Response): AttemptResult {
-        failure = BufferedAnswer(response.code, dialect.relayed(response.headers), response.body.bytes())
+        failure = bufferedAnswer(response)
         return AttemptResult.ErrorAnswer(response.code)
     }
 
+    private fun bufferedAnswer(response: Response): BufferedAnswer {
+        val body = response.body.bytesAtMost(MAX_ANSWER_BYTES)
+        return BufferedAnswer(response.code, dialect.relayed(response.headers), body)
+    }
+
     private fun relayWhole(effect: RoutingEffect.Forward, response: Response): AttemptResult {
-        val buffered = BufferedAnswer(response.code, dialect.relayed(response.headers), response.body.bytes())
+        val buffered = bufferedAnswer(response)
         post(RoutingEvent.AnswerStarted(id, effect.attempt))
         // Closed before the last byte is written, because the caller may then send its next request on this connection.
         watch.close()
@@ -228,5 +234,11 @@
         /** Events between progress reports: about one report every 0.5 s, which keeps the cost of reporting low. */
         const val EVENTS_PER_REPORT = 8
         const val EVENT_STREAM = "event-stream"
+
+        /** A handle and two numbers. */
+        const val MAX_PREFILL_RESULT_BYTES = 64L * 1024
+
+        /** Answers are held until they are complete; many of this size must fit the heap of a small host. */
+        const val MAX_ANSWER_BYTES = 2L * 1024 * 1024
     }
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -69,7 +69,7 @@
     private val peers: PeerTransport = with(settings.peers) {
         KtorPeerTransport(listen.address, listen.port, MessageDigest.getInstance("SHA-256").digest(fleet.toByteArray()))
     }
-    private val client: OkHttpClient = HttpClients.createSingleUse(CONNECT_TIMEOUT)
+    private val client: OkHttpClient = HttpClients.createSingleUse(CONNECT_TIMEOUT, cleartext = true)
     private val upstream = UpstreamClient(client, dialect)
     private val loop: HostLoop<RoutingEvent, RoutingEffect> =
         HostLoop(
@@ -88,7 +88,6 @@
 
     private lateinit var callers: Javalin
     private lateinit var operations: Javalin
-    private lateinit var metricsListener: Javalin
 
     @Volatile
     private var ready = false
@@ -109,9 +108,7 @@
         watch.start()
         callers = routingListener(settings.callers.listen, settings.callers.maxRequests, api, events).start()
         operations =
-            operationsListener(settings.operations.listen, dialect.readinessPath, { ready && warm }, events).start()
-        val metricsAt = settings.operations.listen.copy(port = settings.operations.metricsPort)
-        metricsListener = metricsListener(metricsAt, metrics, events).start()
+            operationsListener(settings.operations, dialect.readinessPath, { ready && warm }, metrics, events).start()
         ticker.scheduleWithFixedDelay({
             loop.post(RoutingEvent.Tick)
         }, 0, TICK_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -137,7 +134,6 @@
         ticker.shutdownNow()
         callers.stop()
         operations.stop()
-        metricsListener.stop()
         watch.close()
         loop.stop()
         peers.close()
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
@@ -2,9 +2,11 @@
 
 import io.anvilvalve.host.EventLog
 import io.anvilvalve.host.HostMetrics
+import io.anvilvalve.host.addConnector
 import io.anvilvalve.host.listen
 import io.anvilvalve.host.sendBody
 import io.anvilvalve.settings.Endpoint
+import io.anvilvalve.settings.RoutingHostSettings
 import io.javalin.Javalin
 import io.javalin.http.HandlerType
 import jakarta.servlet.http.HttpServletResponse
@@ -45,17 +47,19 @@
         }
     }
 
-/** Builds the listener for the platform's probes, with readiness at [readinessPath]. */
-internal fun operationsListener(at: Endpoint, readinessPath: String, ready: () -> Boolean, log: EventLog): Javalin =
-    Javalin.create { config ->
-        config.listen(at.address, at.port, OPERATIONS_THREADS, operationsIdleTimeout, log)
-        config.routes.get(readinessPath) { sendReadiness(it.res(), ready()) }
-        config.routes.get("/healthz") { it.res().sendBody("text/plain", "ok\n".toByteArray()) }
-    }
-
-/** Builds the listener that exposes the metrics. */
-internal fun metricsListener(at: Endpoint, metrics: RoutingMetrics, log: EventLog): Javalin = Javalin.create { config ->
+/** Builds the listener for the platform's probes, with readiness at [readinessPath], and for the metrics. */
+internal fun operationsListener(
+    settings: RoutingHostSettings.Operations,
+    readinessPath: String,
+    ready: () -> Boolean,
+    metrics: RoutingMetrics,
+    log: EventLog,
+): Javalin = Javalin.create { config ->
+    val at = settings.listen
     config.listen(at.address, at.port, OPERATIONS_THREADS, operationsIdleTimeout, log)
+    config.addConnector(at.address, settings.metricsPort, operationsIdleTimeout)
+    config.routes.get(readinessPath) { sendReadiness(it.res(), ready()) }
+    config.routes.get("/healthz") { it.res().sendBody("text/plain", "ok\n".toByteArray()) }
     config.routes.get("/metrics") { it.res().sendBody(HostMetrics.CONTENT_TYPE, metrics.expose()) }
 }
 
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/EventFramesSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/EventFramesSpec.kt
@@ -4,14 +4,18 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import okio.Buffer
 import okio.ForwardingSource
 import okio.Source
+import okio.Timeout
 import okio.buffer
 import java.io.IOException
 import kotlin.random.Random
 
+private const val PIECE_BYTES = 4 * 1024
+
 /**
  * Guards against two failures when a backend server breaks a stream off: the caller receives part of an event, and the
  * stream is resumed after an event that the caller has not received.
@@ -52,6 +56,24 @@
             }
         }
 
+        test("an event without end breaks the stream, and no more than its limit is held") {
+            val endless = object : Source {
+                var sent = 0L
+
+                override fun read(sink: Buffer, byteCount: Long): Long {
+                    sink.write(ByteArray(PIECE_BYTES))
+                    sent += PIECE_BYTES
+                    return PIECE_BYTES.toLong()
+                }
+
+                override fun timeout() = Timeout.NONE
+
+                override fun close() = Unit
+            }
+            shouldThrow<IOException> { EventFrames(endless.buffer()).next() }
+            endless.sent shouldBeLessThanOrEqual EventFrames.MAX_EVENT_BYTES + 2 * PIECE_BYTES
+        }
+
         test("relays only the whole events of a broken stream") {
             val frames = EventFrames(source(listOf("id: 1\n\nid: 2\nda"), breaks = true).buffer())
             frames.next()?.decodeToString() shouldBe "id: 1\n\n"
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.net
 
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
 import java.util.concurrent.TimeUnit
@@ -14,34 +15,49 @@
     private const val MAX_IDLE_CONNECTIONS = 256
     private const val KEEP_ALIVE_SECONDS = 60L
 
+    /** More than any answer that is read as a whole, because an answer may consist of one line. */
+    private const val MAX_LINE_BYTES = 17 * 1024 * 1024
+
+    /** Many answers at a time must fit the heap of a small host. */
+    private const val MAX_SINGLE_USE_LINE_BYTES = 3 * 1024 * 1024
+
     /**
      * Returns a client that sends each call at most once.
      *
      * By default, OkHttp retries calls on connection failures and follows redirects; either may execute a call twice.
+     *
+     * @param cleartext whether the client only calls plain HTTP; it then loads no trust store at the start.
      */
-    fun create(connectTimeout: Duration = 1.seconds, readTimeout: Duration = 10.seconds): OkHttpClient =
-        OkHttpClient.Builder()
-            .retryOnConnectionFailure(false)
-            .followRedirects(false)
-            .followSslRedirects(false)
-            .connectTimeout(connectTimeout.toJavaDuration())
-            .readTimeout(readTimeout.toJavaDuration())
-            .writeTimeout(readTimeout.toJavaDuration())
-            .dispatcher(createDispatcher())
-            .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
-            .eventListenerFactory(SentListenerFactory)
-            .build()
+    fun create(
+        connectTimeout: Duration = 1.seconds,
+        readTimeout: Duration = 10.seconds,
+        cleartext: Boolean = false,
+    ): OkHttpClient = OkHttpClient.Builder()
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .followSslRedirects(false)
+        .connectTimeout(connectTimeout.toJavaDuration())
+        .readTimeout(readTimeout.toJavaDuration())
+        .writeTimeout(readTimeout.toJavaDuration())
+        .dispatcher(createDispatcher())
+        .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+        .eventListenerFactory(SentListenerFactory)
+        .socketFactory(BoundedSockets(MAX_LINE_BYTES))
+        .apply { if (cleartext) connectionSpecs(listOf(ConnectionSpec.CLEARTEXT)) }
+        .build()
 
     /**
      * Returns a client that opens a new connection for each call and has no time-out except the connect time-out.
      *
      * On a reused connection, a backend server may send a second response or may close it while a request is in flight.
      */
-    fun createSingleUse(connectTimeout: Duration): OkHttpClient = create(connectTimeout, Duration.ZERO)
-        .newBuilder()
-        .fastFallback(false)
-        .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
-        .build()
+    fun createSingleUse(connectTimeout: Duration, cleartext: Boolean = false): OkHttpClient =
+        create(connectTimeout, Duration.ZERO, cleartext)
+            .newBuilder()
+            .fastFallback(false)
+            .socketFactory(BoundedSockets(MAX_SINGLE_USE_LINE_BYTES))
+            .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+            .build()
 
     /** Raises the limit of concurrent calls: OkHttp's default of 5 per server would queue streams behind each other. */
     private fun createDispatcher() = Dispatcher().apply {
--- /dev/null
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/ResponseBodiesSpec.kt
@@ -0,0 +1,91 @@
+package io.anvilvalve.net
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import okhttp3.Request
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.seconds
+
+/** Sends [start] and then [repeated] until the peer closes the connection. */
+private class EndlessServer(start: String, repeated: String) : AutoCloseable {
+    val sentBytes = AtomicLong()
+    private val server = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
+    val url = "http://127.0.0.1:${server.localPort}/"
+    private val sender = thread(isDaemon = true) {
+        val bytes = repeated.repeat(PIECES).toByteArray()
+        try {
+            server.accept().use { socket ->
+                socket.getOutputStream().write(start.toByteArray())
+                while (true) {
+                    socket.getOutputStream().write(bytes)
+                    sentBytes.addAndGet(bytes.size.toLong())
+                }
+            }
+        } catch (_: IOException) {
+            // The client has closed the connection, or the test has ended.
+        }
+    }
+
+    /** Waits until the client has closed the connection. */
+    fun awaitClosed() = sender.join()
+
+    override fun close() = server.close()
+
+    private companion object {
+        const val PIECES = 1_000
+    }
+}
+
+/** Guards against a server whose bytes have no end and fill the heap of a host. */
+class ResponseBodiesSpec :
+    FunSpec({
+        class Case(val name: String, val start: String, val repeated: String)
+
+        listOf(
+            Case("a status line", "HTTP/1.1 200 ", "x"),
+            Case("a header", "HTTP/1.1 200 OK\r\nX-Noise: ", "x"),
+            Case("headers", "HTTP/1.1 200 OK\r\n", "X-Noise: x\r\n"),
+            Case("interim answers", "", "HTTP/1.1 100 Continue\r\nX-Noise: xxxxxxxxxxxxxxxxxxxxxxxx\r\n\r\n"),
+            Case("a body", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+            Case("a body in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nxx\r\n"),
+            Case("a chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+        ).forEach { case ->
+            test("${case.name} without end is refused, and the connection is closed") {
+                EndlessServer(case.start, case.repeated).use { server ->
+                    val client = HttpClients.createSingleUse(1.seconds, cleartext = true)
+                    val call = client.newCall(Request.Builder().url(server.url).build())
+                    call.timeout().timeout(CALL_SECONDS, TimeUnit.SECONDS)
+                    shouldThrow<IOException> { call.execute().use { it.body.bytesAtMost(LIMIT) } }
+                    server.awaitClosed()
+                    withClue("bytes sent, with what the sockets hold") {
+                        server.sentBytes.get() shouldBeLessThan LIMIT + SOCKET_BYTES
+                    }
+                }
+            }
+        }
+
+        test("a body of exactly the limit is read whole") {
+            ScriptedServer.always(200, "x".repeat(100)).use { server ->
+                val call = HttpClients.create().newCall(Request.Builder().url(server.url).build())
+                call.execute().use { it.body.bytesAtMost(100).size } shouldBe 100
+            }
+        }
+    }) {
+    private companion object {
+        const val LIMIT = 100_000L
+
+        /** Buffers of both sockets on loopback, and the largest head that the client reads. */
+        const val SOCKET_BYTES = 16L * 1024 * 1024
+
+        /** Ends the call if nothing else does, so that the test fails instead of waiting. */
+        const val CALL_SECONDS = 30L
+    }
+}
