--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
@@ -7,7 +7,9 @@
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,10 +28,7 @@
         Thread(it, "caller-watch").apply { isDaemon = true }
     }
 
-    fun start() {
-        val millis = interval.inWholeMilliseconds
-        timer.scheduleWithFixedDelay(::check, millis, millis, TimeUnit.MILLISECONDS)
-    }
+    private val isScheduled = AtomicBoolean()
 
     /**
      * Watches the connection of [request] until the returned watch is closed. The body must have been read.
@@ -38,7 +37,10 @@
      */
     fun watch(request: HttpServletRequest, deadline: ComparableTimeMark, onGone: () -> Unit): ConnectionWatch {
         val connection = ServletContextRequest.getServletContextRequest(request).connectionMetaData.connection
-        return ConnectionWatch(connection.endPoint, deadline, onGone).also { open += it }
+        return ConnectionWatch(connection.endPoint, deadline, onGone).also {
+            open += it
+            schedule()
+        }
     }
 
     override fun close() {
@@ -48,7 +50,21 @@
     /** Whether a request on [connection] is open. */
     fun isBusy(connection: EndPoint): Boolean = open.any { it.isOn(connection) }
 
-    private fun check() = open.forEach { it.check() }
+    /** Schedules the next check; an idle host has none, because a wake-up costs more than a check. */
+    private fun schedule() {
+        if (open.isEmpty() || !isScheduled.compareAndSet(false, true)) return
+        try {
+            timer.schedule(::check, interval.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        } catch (_: RejectedExecutionException) {
+            // The watch is closed, and so are the connections.
+        }
+    }
+
+    private fun check() {
+        isScheduled.set(false)
+        open.forEach { it.check() }
+        schedule()
+    }
 
     /** Watches the connection of one open request. */
     inner class ConnectionWatch(
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
@@ -104,7 +104,6 @@
         runner = EffectRunner(ports(), scope, watcher, loop::now, loop::post)
         runner.start()
         loop.start()
-        watch.start()
         startListeners()
         scope.launch { tick() }
         scope.launch { pollLiveList() }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/HostLoop.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/HostLoop.kt
@@ -3,12 +3,15 @@
 import io.anvilvalve.api.Reducer
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Event loop: a single thread reduces the queued events and performs their effects in order.
  *
+ * @param tick event that the loop handles at intervals in addition to the queued ones; null for none.
  * @param onError receives exceptions of the reducer and of effects. The loop continues after an exception; otherwise an
  * event that reaches every host could stop the whole fleet.
  */
@@ -17,6 +20,7 @@
     private val start: ComparableTimeMark,
     private val perform: (F) -> Unit,
     private val onError: (Throwable) -> Unit,
+    private val tick: E? = null,
 ) {
     private val queue = LinkedBlockingQueue<QueuedEvent<E>>()
     private val thread = Thread(::run, "host-loop").apply { isDaemon = true }
@@ -44,12 +48,31 @@
 
     private fun run() {
         try {
-            while (true) handle(queue.take())
+            if (tick == null) {
+                while (true) handle(queue.take())
+            } else {
+                runWithTicks(tick)
+            }
         } catch (_: InterruptedException) {
             return
         }
     }
 
+    /** An idle host ticks less often, because a wake-up costs more than most ticks. */
+    private fun runWithTicks(tick: E) {
+        var tickAt = now()
+        while (true) {
+            val event = queue.poll((tickAt - now()).inWholeMicroseconds, TimeUnit.MICROSECONDS)
+            if (event != null) {
+                handle(event)
+                tickAt = minOf(tickAt, now() + TICK_INTERVAL)
+            }
+            if (now() < tickAt) continue
+            handle(QueuedEvent(tick))
+            tickAt = now() + if (event == null) IDLE_TICK_INTERVAL else TICK_INTERVAL
+        }
+    }
+
     @Suppress("TooGenericExceptionCaught")
     private fun handle(queued: QueuedEvent<E>) {
         try {
@@ -61,5 +84,11 @@
         queued.handled?.complete(Unit)
     }
 
+    private companion object {
+        /** Longest time from an event to the next tick. */
+        val TICK_INTERVAL = 25.milliseconds
+        val IDLE_TICK_INTERVAL = 100.milliseconds
+    }
+
     private class QueuedEvent<E>(val event: E, val handled: CompletableFuture<Unit>? = null)
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -33,8 +33,6 @@
 import java.security.MessageDigest
 import java.time.Clock
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.Executors
-import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -77,6 +75,7 @@
             start,
             ::perform,
             events::error,
+            RoutingEvent.Tick,
         )
     private val api =
         RoutingApi(dialect, upstream, watch, ::newBodyReader, settings.callers.maxRequests, time, loop::post)
@@ -84,7 +83,6 @@
     private val metrics = RoutingMetrics({ api.inFlightCount }, { ready })
     private val writer = StateWriter(store, events::write)
     private val reader = StateReader(store, ::announce, loop::post)
-    private val ticker = Executors.newSingleThreadScheduledExecutor { Thread(it, "tick").apply { isDaemon = true } }
 
     private lateinit var callers: Javalin
     private lateinit var operations: Javalin
@@ -105,13 +103,9 @@
     fun start() {
         peers.start(::receive) { events.write(LogEvent.PEER_REFUSED, mapOf("reason" to it)) }
         loop.start()
-        watch.start()
         callers = routingListener(settings.callers.listen, settings.callers.maxRequests, api, events).start()
         operations =
             operationsListener(settings.operations, dialect.readinessPath, { ready && warm }, metrics, events).start()
-        ticker.scheduleWithFixedDelay({
-            loop.post(RoutingEvent.Tick)
-        }, 0, TICK_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         reader.start()
         events.write(
             LogEvent.DAEMON_STARTED,
@@ -131,7 +125,6 @@
         reader.close()
         orders.close()
         writer.close()
-        ticker.shutdownNow()
         callers.stop()
         operations.stop()
         watch.close()
@@ -209,9 +202,6 @@
         /** Covers the transfer time of an order to its engine. */
         val ORDER_LEASE_MARGIN = 500.milliseconds
 
-        /** Interval that the contract of [RoutingEvent.Tick] requires. */
-        val TICK_INTERVAL = 25.milliseconds
-
         /** Work for a disconnected caller must end within 0.5 s. */
         val WATCH_INTERVAL = 100.milliseconds
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
@@ -44,13 +44,14 @@
      */
     fun apply(entries: List<StoredEntry>, complete: Boolean, next: Long, grace: Duration): Boolean {
         if (complete && next < offset) return false
+        val isFirst = readAt == null
         readAt = out.now
         var changed = false
         for (entry in entries) {
             if (entry.offset >
                 (records[entry.key]?.offset ?: -1)
             ) {
-                changed = put(entry, grace) || changed
+                changed = put(entry, grace, isLogged = !isFirst) || changed
             }
         }
         if (complete) {
@@ -58,6 +59,7 @@
             records.keys.filter { it !in present }.forEach { changed = remove(it, grace) || changed }
         }
         offset = maxOf(offset, next)
+        if (isFirst) out.log(LogEvent.DIRECTORY_READ, "servers" to backends.size, "offset" to offset)
         if (changed) changedAt = offset
         return changed
     }
@@ -72,7 +74,7 @@
         return due.isNotEmpty()
     }
 
-    private fun put(entry: StoredEntry, grace: Duration): Boolean {
+    private fun put(entry: StoredEntry, grace: Duration, isLogged: Boolean): Boolean {
         val value = entry.value
         if (value == null) return remove(entry.key, grace)
         removalDueAt.remove(entry.key)
@@ -82,13 +84,14 @@
                 out.log(LogEvent.ENTRY_UNREADABLE, "server" to entry.key, "offset" to entry.offset, "reason" to it)
                 removeBackend(entry.key)
             },
-            { putBackend(entry, it) },
+            { putBackend(entry, it, isLogged) },
         )
     }
 
-    private fun putBackend(entry: StoredEntry, next: Backend): Boolean {
+    private fun putBackend(entry: StoredEntry, next: Backend, isLogged: Boolean): Boolean {
         val last = backends.put(next.id, next)
         if (last == next) return false
+        if (!isLogged) return true
         out.log(
             LogEvent.SERVER_CHANGED,
             "server" to next.id,
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -104,7 +104,7 @@
             StateTopic.DIRECTORY ->
                 if (directory.apply(page.entries, page.complete, page.next, removalGrace())) sink.serversChanged()
 
-            StateTopic.HOSTS -> page.entries.forEach(::applyHost)
+            StateTopic.HOSTS -> applyHosts(page.entries)
 
             StateTopic.USAGE -> page.entries.forEach(::applyUsage)
         }
@@ -130,12 +130,18 @@
         }
     }
 
-    private fun applyHost(entry: StoredEntry) {
-        val value = entry.value ?: return
-        BinaryCodec.decode(Member.serializer(), value).fold(
-            { out.log(LogEvent.ENTRY_UNREADABLE, "host" to entry.key, "reason" to it) },
-            { if (peers.register(it)) out.log(LogEvent.MEMBER_JOINED, "member" to it.incarnation, "from" to "store") },
-        )
+    /** Logs one line for all hosts, because at a start every host reads the entries of the whole fleet. */
+    private fun applyHosts(entries: List<StoredEntry>) {
+        val joined = entries.mapNotNull(::decodeMember).filter(peers::register)
+        if (joined.isEmpty()) return
+        val names = joined.take(MAX_LOGGED_MEMBERS).joinToString { it.incarnation.value }
+        out.log(LogEvent.MEMBER_JOINED, "members" to joined.size, "first" to names, "from" to "store")
+    }
+
+    private fun decodeMember(entry: StoredEntry): Member? = entry.value?.let { value ->
+        BinaryCodec.decode(Member.serializer(), value)
+            .onLeft { out.log(LogEvent.ENTRY_UNREADABLE, "host" to entry.key, "reason" to it) }
+            .getOrNull()
     }
 
     private fun applyUsage(entry: StoredEntry) {
@@ -176,5 +182,6 @@
     private companion object {
         /** A peer answers within a few milliseconds; on slow links, the state of a large deployment takes longer. */
         val REQUEST_TIMEOUT = 300.milliseconds
+        const val MAX_LOGGED_MEMBERS = 5
     }
 }
