--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/WarmUp.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/WarmUp.kt
@@ -33,7 +33,8 @@
     }
 
     private companion object {
-        const val REQUESTS = 60
+        /** Enough to load the classes of the request path; each request takes processor time that callers need. */
+        const val REQUESTS = 15
         const val BODY_BYTES = 5_000
     }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Coordinators.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Coordinators.kt
@@ -10,7 +10,7 @@
 /**
  * Selects the coordinators of a large fleet.
  *
- * In a fleet of up to [DIRECT_FLEET] hosts, every host sends its state to all others. In a larger one, hosts send it to
+ * In a fleet of up to [Peers.SMALL_FLEET] hosts, every host sends its state to all others. In a larger one, hosts send it to
  * [COORDINATORS] hosts, the first ones by rank, which send sums back. The first available coordinator selects backend
  * servers for the requests of all hosts. Every host selects the coordinators by its own knowledge; hosts that disagree
  * for a moment report to more hosts than necessary.
@@ -25,7 +25,7 @@
     private var last: List<Member> = emptyList()
 
     /** Whether every host sends its state to all others. */
-    val isDirect: Boolean get() = peers.size < DIRECT_FLEET
+    val isDirect: Boolean get() = peers.isSmallFleet
 
     /** Whether this host collects reports and sends summaries. */
     var selfCoordinates: Boolean = false
@@ -46,7 +46,7 @@
     val readStore: Boolean
         get() = summaries.values.any {
             val age = out.now - it.at
-            age < RoutingTimes.PEER_TIMEOUT &&
+            age < RoutingTimes.SUMMARY_TIMEOUT &&
                 age + it.summary.storeAgeMillis.milliseconds < RoutingTimes.STORE_NEWS_LIMIT
         }
 
@@ -95,7 +95,7 @@
     /** Whether [host] is a coordinator that places requests for others and answers. */
     fun isAvailable(host: HostId): Boolean {
         val received = summaries[host] ?: return false
-        if (out.now - received.at >= RoutingTimes.PEER_TIMEOUT || !received.summary.available) return false
+        if (out.now - received.at >= RoutingTimes.SUMMARY_TIMEOUT || !received.summary.available) return false
         return suspectedUntil[host]?.let { out.now >= it } != false
     }
 
@@ -107,14 +107,11 @@
     private fun firstAlive(): List<Member> =
         peers.ranked.asSequence().filter(peers::isSelfOrAlive).take(COORDINATORS).toList()
 
-    private fun isReportedTo() = reportedAt?.let { out.now - it < RoutingTimes.PEER_TIMEOUT } == true
+    private fun isReportedTo() = reportedAt?.let { out.now - it < RoutingTimes.REPORT_TIMEOUT } == true
 
-    private fun isAcknowledged() = acknowledgedAt?.let { out.now - it < RoutingTimes.PEER_TIMEOUT } == true
+    private fun isAcknowledged() = acknowledgedAt?.let { out.now - it < RoutingTimes.SUMMARY_TIMEOUT } == true
 
     companion object {
-        /** With more hosts, messages from every host to every other take more of a small host than its requests do. */
-        const val DIRECT_FLEET = 12
-
         /** With two coordinators lost at the same time, one that knows the state of the fleet is left. */
         const val COORDINATORS = 3
     }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Gossip.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Gossip.kt
@@ -23,7 +23,7 @@
 ) {
     private var sequence = 0L
     private var sentAt: Duration? = null
-    private var maxDelay = RoutingTimes.GOSSIP_INTERVAL
+    private var maxDelay = Duration.INFINITE
     private val lostPeers = HashSet<HostId>()
 
     /** Requests that the next message is sent at most [maxDelay] after the last one. */
@@ -34,9 +34,10 @@
     /** Sends a message if one is due. */
     fun flush() {
         val since = sentAt?.let { out.now - it }
-        if (since != null && since < maxDelay) return
+        val interval = if (coordinators.isDirect) RoutingTimes.GOSSIP_INTERVAL else RoutingTimes.REPORT_INTERVAL
+        if (since != null && since < minOf(maxDelay, interval)) return
         sentAt = out.now
-        maxDelay = RoutingTimes.GOSSIP_INTERVAL
+        maxDelay = Duration.INFINITE
         val message = buildMessage(++sequence, peers.all.filter(peers::isHeard).map { it.member.incarnation })
         targets().forEach { send(it, message) }
     }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -29,6 +29,11 @@
 
     val all: Collection<Peer> get() = peers.values
 
+    /** Whether every host sends its state to all others. */
+    val isSmallFleet: Boolean get() = peers.size < SMALL_FLEET
+
+    private val timeout get() = if (isSmallFleet) RoutingTimes.PEER_TIMEOUT else RoutingTimes.REPORT_TIMEOUT
+
     /** Number of other hosts that may be running. */
     val size: Int get() = peers.size
 
@@ -85,14 +90,13 @@
     fun consumeUnknownMentioned(): Boolean = unknownMentioned.also { unknownMentioned = false }
 
     /**
-     * Whether a message from the peer, or a mention of it, was received within [RoutingTimes.PEER_TIMEOUT]. A new peer
+     * Whether a message from the peer, or a mention of it, was received recently. A new peer
      * counts as alive for that time, because its first message is in transit.
      */
-    fun isAlive(peer: Peer): Boolean = out.now - peer.lastAliveAt < RoutingTimes.PEER_TIMEOUT
+    fun isAlive(peer: Peer): Boolean = out.now - peer.lastAliveAt < timeout
 
-    /** Whether a message from the peer itself was received within [RoutingTimes.PEER_TIMEOUT]. */
-    fun isHeard(peer: Peer): Boolean =
-        peer.lastReceivedAt?.let { out.now - it < RoutingTimes.PEER_TIMEOUT } == true
+    /** Whether a message from the peer itself was received recently. */
+    fun isHeard(peer: Peer): Boolean = peer.lastReceivedAt?.let { out.now - it < timeout } == true
 
     /**
      * Removes hosts that have been silent for [RoutingTimes.PEER_EXPIRY]; returns those among the hosts that satisfy
@@ -102,7 +106,7 @@
         if (peers.values.removeIf { out.now - it.lastAliveAt > RoutingTimes.PEER_EXPIRY }) updateRanks()
         updateSilentCount()
         val notReceiving = peers.values.filter {
-            out.now - it.lastAcknowledgedAt > RoutingTimes.PEER_TIMEOUT && receiveMessages(it)
+            out.now - it.lastAcknowledgedAt > timeout && receiveMessages(it)
         }
         notReceiving.forEach { it.lastAcknowledgedAt = out.now }
         return notReceiving
@@ -133,7 +137,9 @@
         silentCount = peers.values.count { !isAlive(it) }
     }
 
-    private companion object {
-        const val HALF = 0.5
+    companion object {
+        /** With more hosts, messages from every host to every other take more of a small host than its requests do. */
+        const val SMALL_FLEET = 12
+        private const val HALF = 0.5
     }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
@@ -68,8 +68,17 @@
     /** A prefill result is fetched at least this long before it expires. */
     val HANDLE_MARGIN: Duration = 60.milliseconds
 
-    /** Interval between summaries of a coordinator if nothing changes; less than a third of [PEER_TIMEOUT]. */
-    val SUMMARY_INTERVAL: Duration = 300.milliseconds
+    /** As [GOSSIP_INTERVAL], for reports to coordinators; less than a third of [REPORT_TIMEOUT]. */
+    val REPORT_INTERVAL: Duration = 500.milliseconds
+
+    /** As [PEER_TIMEOUT], in a large fleet, where a coordinator that does not answer is detected sooner. */
+    val REPORT_TIMEOUT: Duration = 1700.milliseconds
+
+    /** Interval between summaries of a coordinator if nothing changes; less than a third of [SUMMARY_TIMEOUT]. */
+    val SUMMARY_INTERVAL: Duration = 400.milliseconds
+
+    /** A coordinator whose last summary is older may be partitioned off. */
+    val SUMMARY_TIMEOUT: Duration = 1300.milliseconds
 
     /** Changes of loads and usage within this time are batched into one summary. */
     val SUMMARY_DELAY: Duration = 150.milliseconds
