Send the totals of all coordinators, so that a lost one leaves no gap

Cause: with longer time-outs of a large fleet, usage was unknown for 1.3 s after the loss of the first coordinator, and 342,000 tokens were admitted in a window of at most 318,000 (CoordinatorsSpec).

Change: every coordinator to which enough hosts report sends totals; only the first sends them soon after a change.

Before, after: CoordinatorsSpec fails before and passes after.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/FleetSummary.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/FleetSummary.kt
@@ -16,7 +16,7 @@
  * @property directory store offset at which the backend servers last changed, or -1.
  * @property storeAgeMillis time since the sender last read both from the store, in milliseconds.
  * @property available whether the sender places requests for other hosts.
- * @property totals sums over all hosts; null from a coordinator that places no requests for others.
+ * @property totals sums over all hosts; null from a coordinator to which too few hosts report.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -83,7 +83,7 @@
             directory = directory.changedAt,
             storeAgeMillis = state.storeAge.inWholeMilliseconds,
             available = isAvailable,
-            totals = if (coordinators.placer(isAvailable) == null) buildTotals() else null,
+            totals = if (isAvailable) buildTotals() else null,
         )
     }
 
@@ -182,7 +182,8 @@
         retries.applyReport(message.attempts, last?.attempts.orEmpty())
         loads.applyReport(message.member.host, message.loads)
         remote.reported(message.member.host, message.grants)
-        if (last?.usage != message.usage || last.loads != message.loads) {
+        // The other coordinators send their totals at the usual interval, in case the first one is lost.
+        if (isPlacer && (last?.usage != message.usage || last.loads != message.loads)) {
             summaries.sendWithin(RoutingTimes.SUMMARY_DELAY)
         }
         requests.placeAll()
@@ -269,6 +270,9 @@
         gossip.send(peer.member, PeerMessage.SharedState(newer, entries, known))
     }
 
+    /** Whether this host places the requests of the fleet. */
+    private val isPlacer: Boolean get() = isAvailable && coordinators.placer(true) == null
+
     private fun updateReady() {
         val next = state.complete && !drain.active
         if (next == ready) return
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/CoordinatorsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/CoordinatorsSpec.kt
@@ -39,6 +39,8 @@
 
         test("servers near their limit refuse no call, whichever hosts the callers reach") {
             val fleet = FleetSimulation(30, backends = servers)
+            // Until the hosts know their coordinators, they place requests by what they know themselves.
+            fleet.run(1.seconds)
             fleet.run(3.seconds, arrivals = 100)
             val before = fleet.rejected
             // 10 servers with 4 slots and calls of 90 ms: 200 calls/s take 18 of 40 slots on average.
