--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/LineLayout.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/LineLayout.kt
@@ -36,6 +36,5 @@
         put("error", event.thrown?.toString().orEmpty())
     }.toString()
 
-    private fun time(event: LogEvent): Instant =
-        Instant.ofEpochMilli(event.timeMillis).truncatedTo(ChronoUnit.MILLIS)
+    private fun time(event: LogEvent): Instant = Instant.ofEpochMilli(event.timeMillis).truncatedTo(ChronoUnit.MILLIS)
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/LogSetup.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/LogSetup.kt
@@ -1,12 +1,12 @@
 package io.anvilvalve.host
 
 import io.anvilvalve.settings.HostSettings
+import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.core.LoggerContext
 import org.apache.logging.log4j.core.config.Configuration
 import org.apache.logging.log4j.core.config.ConfigurationFactory
 import org.apache.logging.log4j.core.config.ConfigurationSource
 import org.apache.logging.log4j.core.config.Configurator
-import org.apache.logging.log4j.LogManager
 import java.net.URI
 
 /** Configures Log4j for a host. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Queues.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Queues.kt
@@ -45,8 +45,7 @@
     }
 
     /** Queued work at this host: tokens of memory for engines, number of calls for plain services. */
-    fun queuedTokens(service: ServiceId): Int =
-        waiting[service].orEmpty().filterNot { it.isDelegated }.sumOf(::workOf)
+    fun queuedTokens(service: ServiceId): Int = waiting[service].orEmpty().filterNot { it.isDelegated }.sumOf(::workOf)
 
     /** The request of [service] that this host would place next. */
     fun head(service: ServiceId): QueueHead? {
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ServerLoads.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ServerLoads.kt
@@ -40,7 +40,9 @@
         get() = own.filterValues { it.requests > 0 }.map { (id, load) -> SharedLoad(id, load.requests, load.tokens) }
 
     /** Age of the oldest unexpired report of a peer; null if there is none. */
-    val oldestReportAge: Duration? get() = (reports.values + listOfNotNull(othersReport)).maxOfOrNull { out.now - it.at }
+    val oldestReportAge: Duration? get() = (reports.values + listOfNotNull(othersReport)).maxOfOrNull {
+        out.now - it.at
+    }
 
     /** Loads of all hosts, including granted capacity. */
     val totals: List<SharedLoad>
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StoreReading.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StoreReading.kt
@@ -33,7 +33,11 @@
     private fun update(next: Mode) {
         if (next == mode) return
         if (next.active != mode.active) {
-            out.log(LogEvent.STORE_READING_CHANGED, "reading" to next.active, "coordinator" to coordinators.selfCoordinates)
+            out.log(
+                LogEvent.STORE_READING_CHANGED,
+                "reading" to next.active,
+                "coordinator" to coordinators.selfCoordinates,
+            )
         }
         mode = next
         out.emit(RoutingEffect.FollowStore(next.active, next.wait))
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
@@ -38,7 +38,12 @@
         val received = ArrayDeque<() -> List<RoutingEffect>>()
     }
 
-    private class Running(val host: Host, val ends: Duration, val event: () -> RoutingEvent, val server: BackendServerId?)
+    private class Running(
+        val host: Host,
+        val ends: Duration,
+        val event: () -> RoutingEvent,
+        val server: BackendServerId?,
+    )
 
     private val random = Random(seed)
     private val decoder = TableDecoder()
