Send and receive peer frames on one thread, and tick an idle host less often

Change: one thread serves the connections to peers and one their selector; a host without requests ticks every 100 ms.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/HostLoop.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/HostLoop.kt
@@ -12,6 +12,7 @@
  * Event loop: a single thread reduces the queued events and performs their effects in order.
  *
  * @param tick event that the loop handles at intervals in addition to the queued ones; null for none.
+ * @param isBusy whether ticks must be frequent.
  * @param onError receives exceptions of the reducer and of effects. The loop continues after an exception; otherwise an
  * event that reaches every host could stop the whole fleet.
  */
@@ -21,6 +22,7 @@
     private val perform: (F) -> Unit,
     private val onError: (Throwable) -> Unit,
     private val tick: E? = null,
+    private val isBusy: () -> Boolean = { false },
 ) {
     private val queue = LinkedBlockingQueue<QueuedEvent<E>>()
     private val thread = Thread(::run, "host-loop").apply { isDaemon = true }
@@ -65,11 +67,11 @@
             val event = queue.poll((tickAt - now()).inWholeMicroseconds, TimeUnit.MICROSECONDS)
             if (event != null) {
                 handle(event)
-                tickAt = minOf(tickAt, now() + TICK_INTERVAL)
+                if (isBusy()) tickAt = minOf(tickAt, now() + TICK_INTERVAL)
             }
             if (now() < tickAt) continue
             handle(QueuedEvent(tick))
-            tickAt = now() + if (event == null) IDLE_TICK_INTERVAL else TICK_INTERVAL
+            tickAt = now() + if (isBusy()) TICK_INTERVAL else IDLE_TICK_INTERVAL
         }
     }
 
@@ -85,7 +87,6 @@
     }
 
     private companion object {
-        /** Longest time from an event to the next tick. */
         val TICK_INTERVAL = 25.milliseconds
         val IDLE_TICK_INTERVAL = 100.milliseconds
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -76,6 +76,7 @@
             ::perform,
             events::error,
             RoutingEvent.Tick,
+            isBusy = { api.inFlightCount > 0 },
         )
     private val api =
         RoutingApi(dialect, upstream, watch, ::newBodyReader, settings.callers.maxRequests, time, loop::post)
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/KtorPeerTransport.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/KtorPeerTransport.kt
@@ -12,9 +12,9 @@
 import io.ktor.network.sockets.openWriteChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
@@ -41,9 +42,13 @@
     private val random: Random = Random.Default,
 ) : PeerTransport {
     private val job = SupervisorJob()
-    private val scope = CoroutineScope(job + Dispatchers.IO)
+
+    /** One thread for all connections: handing a frame from thread to thread costs more than to write it. */
+    private val thread = singleThread("peers")
+    private val selectorThread = singleThread("peers-select")
+    private val scope = CoroutineScope(job + thread)
     private val selectorJob = SupervisorJob()
-    private val selector = SelectorManager(Dispatchers.IO + selectorJob)
+    private val selector = SelectorManager(selectorThread + selectorJob)
     private val handshake = PeerHandshake(secret)
     private val links = ConcurrentHashMap<String, RunningLink>()
     private val acceptedConnections = AtomicInteger()
@@ -96,6 +101,8 @@
             selectorJob.complete()
             selectorJob.join()
         }
+        thread.close()
+        selectorThread.close()
     }
 
     private fun link(address: String): PeerLink = links.computeIfAbsent(address) {
@@ -139,6 +146,9 @@
         }
     }
 
+    private fun singleThread(name: String) =
+        Executors.newSingleThreadExecutor { Thread(it, name).apply { isDaemon = true } }.asCoroutineDispatcher()
+
     private class RunningLink(val link: PeerLink, val job: Job)
 
     private companion object {
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
@@ -42,6 +42,6 @@
     /** The platform requested a graceful shutdown. */
     data object DrainRequested : RoutingEvent
 
-    /** Time has passed; sent at most 25 ms after any other event, and every 100 ms to an idle host. */
+    /** Time has passed; sent every 25 ms while requests are in flight, otherwise every 100 ms. */
     data object Tick : RoutingEvent
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
@@ -81,7 +81,7 @@
     val SUMMARY_TIMEOUT: Duration = 1300.milliseconds
 
     /** Changes of loads and usage within this time are batched into one summary. */
-    val SUMMARY_DELAY: Duration = 150.milliseconds
+    val SUMMARY_DELAY: Duration = 200.milliseconds
 
     /** A coordinator answers within a few milliseconds; TCP retransmits a lost packet after 200 ms or more. */
     val PLACEMENT_TIMEOUT: Duration = 150.milliseconds
