--- a/anvilvalve-settings/src/test/kotlin/io/anvilvalve/settings/RoutingSettingsSpec.kt
+++ b/anvilvalve-settings/src/test/kotlin/io/anvilvalve/settings/RoutingSettingsSpec.kt
@@ -16,6 +16,8 @@
             "zone" to "tacoma",
             "region" to "pnw",
             "ip" to "10.1.0.3",
+            "limits.cpuShare" to "0.75",
+            "limits.cores" to "2",
             "platform.address" to "10.200.1.7:8361",
             "listen.frontend" to "10.1.0.3:8360",
             "listen.readiness" to "10.1.0.3:8365",
@@ -40,6 +42,7 @@
         test("the rendered deployment template has no faults") {
             val settings = load(render()).getOrNull()!!
             settings.host.dataCentre shouldBe "tacoma"
+            settings.host.capacity shouldBe 1_500
             settings.callers.listen shouldBe Endpoint("10.1.0.3", 8_360)
             settings.peers.listen shouldBe Endpoint("10.1.0.3", 7_500)
             settings.store shouldBe Endpoint("10.200.1.7", 8_361)
@@ -62,6 +65,7 @@
                 "store",
                 "address",
             ),
+            Case("without processor", render(mapOf("limits.cpuShare" to "0")), "host", "cpu_share"),
             Case("with a name for an address", render(mapOf("listen.frontend" to "host:80")), "callers", "listen"),
             Case(
                 "with a port out of range",
