--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -69,15 +69,10 @@
     }
     private val client: OkHttpClient = HttpClients.createSingleUse(CONNECT_TIMEOUT, cleartext = true)
     private val upstream = UpstreamClient(client, dialect)
+    private val rules =
+        RoutingReducer(self, decoder, routingSettings(), settings.peers.seeds, incarnation.hashCode().toLong())
     private val loop: HostLoop<RoutingEvent, RoutingEffect> =
-        HostLoop(
-            RoutingReducer(self, decoder, routingSettings(), settings.peers.seeds, incarnation.hashCode().toLong()),
-            start,
-            ::perform,
-            events::error,
-            RoutingEvent.Tick,
-            isBusy = { api.inFlightCount > 0 },
-        )
+        HostLoop(rules, start, ::perform, events::error, RoutingEvent.Tick, isBusy = ::isBusy)
     private val api =
         RoutingApi(dialect, upstream, watch, ::newBodyReader, settings.callers.maxRequests, time, loop::post)
     private val orders = OrderSender(client, store, dialect, settings.host.id, loop::post)
@@ -151,6 +146,9 @@
         loop.offer(RoutingEvent.FrameReceived(frame), MAX_QUEUED_FRAMES)
     }
 
+    /** Called by the thread of the event loop. */
+    private fun isBusy() = api.inFlightCount > 0 || rules.isMessagePending
+
     private fun announce() = store.put(StateTopic.HOSTS, self.host.value, BinaryCodec.encode(Member.serializer(), self))
 
     private fun newBodyReader() = BodyReader(limits.maxBodyBytes, BODY_TIMEOUT, time)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Gossip.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Gossip.kt
@@ -26,6 +26,9 @@
     private var maxDelay = Duration.INFINITE
     private val lostPeers = HashSet<HostId>()
 
+    /** Whether a change waits to be sent. */
+    val isPending: Boolean get() = maxDelay.isFinite()
+
     /** Requests that the next message is sent at most [maxDelay] after the last one. */
     fun sendWithin(maxDelay: Duration) {
         this.maxDelay = minOf(this.maxDelay, maxDelay)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
@@ -42,6 +42,6 @@
     /** The platform requested a graceful shutdown. */
     data object DrainRequested : RoutingEvent
 
-    /** Time has passed; sent every 25 ms while requests are in flight, otherwise every 100 ms. */
+    /** Time has passed; sent every 25 ms while requests are in flight or a message waits, otherwise every 100 ms. */
     data object Tick : RoutingEvent
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -93,6 +93,9 @@
 
     private var ready = false
 
+    /** Whether a message to other hosts waits for the next event. */
+    val isMessagePending: Boolean get() = gossip.isPending
+
     override fun reduce(event: RoutingEvent, now: Duration): List<RoutingEffect> {
         out.now = now
         placement.knowsLoads = coordinators.isDirect || isAvailable
