Log which connections a planned stop closes, and who closed a caller's connection

CONNECTIONS_CLOSED counts the idle connections that a stop closes and those that stay open, REQUEST_FAILED has a reason if this host closed the connection, DRAIN_STARTED has the uptime, which shows a signal that arrived during a start, and DAEMON_STOPPED has the requests and connections that the end of the process cuts off.

One more line for each planned stop; RequestsSpec covers the reason.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/LogEvent.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/LogEvent.kt
@@ -14,6 +14,7 @@
     DRAIN_FINISHED(2005, "A planned stop has finished; no request was running."),
     DRAIN_DEADLINE_PASSED(2006, "The drain deadline passed with requests running."),
     SETTINGS_RELOADED(2007, "The settings were read again."),
+    CONNECTIONS_CLOSED(2008, "A planned stop closed callers' connections."),
     REQUEST_FINISHED(2101, "A request has finished."),
     REQUEST_REFUSED(2102, "A request was refused."),
     REQUEST_FAILED(2103, "A request failed after it may have run."),
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
@@ -33,9 +33,9 @@
     /**
      * Watches the connection of [request] until the returned watch is closed. The body must have been read.
      *
-     * @param onGone called once when the caller disconnects or [deadline] has passed.
+     * @param onGone called once when the connection is closed or [deadline] has passed, with whether this host closed it.
      */
-    fun watch(request: HttpServletRequest, deadline: ComparableTimeMark, onGone: () -> Unit): ConnectionWatch {
+    fun watch(request: HttpServletRequest, deadline: ComparableTimeMark, onGone: (Boolean) -> Unit): ConnectionWatch {
         val connection = ServletContextRequest.getServletContextRequest(request).connectionMetaData.connection
         return ConnectionWatch(connection.endPoint, deadline, onGone).also {
             open += it
@@ -70,7 +70,7 @@
     inner class ConnectionWatch(
         private val endPoint: EndPoint,
         private val deadline: ComparableTimeMark,
-        private val onGone: () -> Unit,
+        private val onGone: (closedHere: Boolean) -> Unit,
     ) : AutoCloseable {
         private val buffer = BufferUtil.allocate(BUFFER_BYTES)
         private var closed = false
@@ -83,9 +83,10 @@
         @Synchronized
         internal fun check() {
             if (closed) return
+            val closedHere = !endPoint.isOpen
             if (deadline.hasPassedNow() || isGone()) {
                 close()
-                onGone()
+                onGone(closedHere)
             }
         }
 
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingApi.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingApi.kt
@@ -51,7 +51,7 @@
             .fold({ return reject(response, ResultCode.MALFORMED_REQUEST) }, { it })
         val target = request.requestURI + request.queryString?.let { "?$it" }.orEmpty()
         val received = ReceivedRequest(request.method, target, head, body, attemptId)
-        val entry = watch.watch(request, time.markNow() + NO_TIME_LIMIT) { post(RoutingEvent.CallerGone(id)) }
+        val entry = watch.watch(request, time.markNow() + NO_TIME_LIMIT) { post(RoutingEvent.CallerGone(id, it)) }
         val answer = RoutedAnswer(response, ::draining)
         val exchange = RoutedExchange(id, received, answer, entry, upstream, dialect, post)
         inFlight[id] = exchange
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -95,6 +95,12 @@
     /** Completed when the process may exit. */
     val exit = CompletableFuture<Unit>()
 
+    /** Number of requests that are being answered. */
+    val openRequests: Int get() = api.inFlightCount
+
+    /** Number of callers' connections. */
+    val openConnections: Int get() = callers.connectors().sumOf { it.connectedEndPoints.size }
+
     /** Binds the listeners and starts the loop. */
     fun start() {
         peers.start(::receive) { events.write(LogEvent.PEER_REFUSED, mapOf("reason" to it)) }
@@ -181,7 +187,9 @@
     private fun applyDraining(closeIdle: Boolean) {
         api.draining = true
         if (!closeIdle) return
-        callers.connectors().flatMap { it.connectedEndPoints }.filterNot(watch::isBusy).forEach { it.close() }
+        val (inUse, idle) = callers.connectors().flatMap { it.connectedEndPoints }.partition(watch::isBusy)
+        idle.forEach { it.close() }
+        events.write(LogEvent.CONNECTIONS_CLOSED, mapOf("closed" to "${idle.size}", "open" to "${inUse.size}"))
     }
 
     private fun releaseHandle(effect: RoutingEffect.ReleaseHandle) {
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingProcess.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingProcess.kt
@@ -48,7 +48,8 @@
             // The platform kills the process at the limit, which cuts off requests in flight in any case.
         }
         // An orderly close of the listeners takes longer than the remaining time, and no request is in flight any more.
-        events.write(LogEvent.DAEMON_STOPPED)
+        val open = mapOf("requests" to "${host.openRequests}", "connections" to "${host.openConnections}")
+        events.write(LogEvent.DAEMON_STOPPED, open)
         LogManager.shutdown()
         Runtime.getRuntime().halt(0)
     }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
@@ -20,7 +20,11 @@
     fun start() {
         if (active) return
         startedAt = out.now
-        out.log(LogEvent.DRAIN_STARTED, "limit_ms" to limit.inWholeMilliseconds)
+        out.log(
+            LogEvent.DRAIN_STARTED,
+            "limit_ms" to limit.inWholeMilliseconds,
+            "uptime_ms" to out.now.inWholeMilliseconds,
+        )
         out.emit(RoutingEffect.Draining(closeIdle = false))
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -60,8 +60,9 @@
     /** Refuses [request], which the coordinator cannot place within [wait]. */
     fun refused(request: LiveRequest, wait: Duration) = endUnplaced(request, wait)
 
-    fun callerGone(id: RequestId) {
+    fun callerGone(id: RequestId, closedHere: Boolean) {
         val request = inFlight[id] ?: return
+        if (closedHere) request.lastReason = "this host closed the caller's connection"
         out.emit(RoutingEffect.Abandon(id, request.attempt))
         fail(request, ResultCode.CALLER_GONE)
     }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
@@ -15,8 +15,8 @@
     /** A complete request was read from a caller. */
     data class Arrived(val request: InboundRequest) : RoutingEvent
 
-    /** The caller closed its connection. */
-    data class CallerGone(val id: RequestId) : RoutingEvent
+    /** The caller's connection was closed, by this host if [closedHere] is set. */
+    data class CallerGone(val id: RequestId, val closedHere: Boolean = false) : RoutingEvent
 
     /** A prefill completed or failed. */
     data class PrefillEnded(val id: RequestId, val attempt: Int, val result: PrefillResult) : RoutingEvent
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -112,7 +112,7 @@
 
             is RoutingEvent.Arrived -> gossipIfChanged { admission.admit(event.request, requests::accept) }
 
-            is RoutingEvent.CallerGone -> gossipIfChanged { requests.callerGone(event.id) }
+            is RoutingEvent.CallerGone -> gossipIfChanged { requests.callerGone(event.id, event.closedHere) }
 
             is RoutingEvent.PrefillEnded -> gossipIfChanged {
                 requests.prefillEnded(event.id, event.attempt, event.result)
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RequestsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RequestsSpec.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.rules.routing
 
 import io.anvilvalve.api.result.Executed
+import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.api.routing.Stage
 import io.kotest.core.spec.style.FunSpec
@@ -134,6 +135,16 @@
             }
         }
 
+        test("a connection that this host closed is not logged as a caller that disconnected") {
+            val host = RoutingFixture()
+            val logs = listOf(true, false).map { closedHere ->
+                val arrival = host.arrive("/drawers/1")
+                val effects = host.send(RoutingEvent.CallerGone(arrival.id, closedHere))
+                effects.filterIsInstance<RoutingEffect.Log>().single { it.event == LogEvent.REQUEST_FAILED }
+            }
+            logs.map { it.fields["reason"] } shouldBe listOf("this host closed the caller's connection", "null")
+        }
+
         test("when a caller disconnects, its queued request is removed") {
             val host = RoutingFixture(backends = listOf(plain("p1", slots = 1)))
             val running = (1..2).map { host.arrive("/drawers/$it") }
