Close callers' connections in a planned stop only between two requests

Cause: a check followed by an act on another thread's state. A connection counted as idle unless its request was registered with CallerWatch, which happens after the body was read. On a busy host tens of milliseconds pass between the first byte and the registration, and the close of idle connections fell into this time.

Change: CallerConnection counts the threads that read or answer a request from before the first byte is read. It closes only while there are none, in one atomic step, and reads nothing after that, so a request is either answered or was never read. CallerWatch no longer knows which connections are busy.

PlannedStopSpec failed before: expected "HTTP/1.1 200 OK" but actual was null. CallerConnectionSpec checks the connection alone: a request in its head, in its handler, after its answer, and one that arrives after the close.

--- /dev/null
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerConnectionFactory.kt
@@ -0,0 +1,13 @@
+package io.anvilvalve.host
+
+import org.eclipse.jetty.io.Connection
+import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.server.Connector
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+
+/** Creates a [CallerConnection] for every connection that a listener accepts. */
+internal class CallerConnectionFactory(configuration: HttpConfiguration) : HttpConnectionFactory(configuration) {
+    override fun newConnection(connector: Connector, endPoint: EndPoint): Connection =
+        configure(CallerConnection(httpConfiguration, connector, endPoint), connector, endPoint)
+}
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
@@ -47,9 +47,6 @@
         timer.shutdownNow()
     }
 
-    /** Whether a request on [connection] is open. */
-    fun isBusy(connection: EndPoint): Boolean = open.any { it.isOn(connection) }
-
     /** Schedules the next check; an idle host has none, because a wake-up costs more than a check. */
     private fun schedule() {
         if (open.isEmpty() || !isScheduled.compareAndSet(false, true)) return
@@ -112,9 +109,6 @@
             endPoint.close()
         }
 
-        /** Whether the request arrived on [connection]. */
-        internal fun isOn(connection: EndPoint) = endPoint === connection
-
         /** Closes the connection if bytes of a pipelined request were dropped. */
         fun closeConnectionIfPipelined() {
             if (pipelined) endPoint.close()
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
@@ -7,7 +7,6 @@
 import io.javalin.config.JavalinConfig
 import io.javalin.http.HandlerType
 import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.Server
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
@@ -95,7 +94,7 @@
 private const val NOT_FOUND = 404
 
 private fun connector(server: Server, http: HttpConfiguration, address: String, port: Int, idleTimeout: Duration) =
-    ServerConnector(server, HttpConnectionFactory(http)).apply {
+    ServerConnector(server, CallerConnectionFactory(http)).apply {
         http.sendServerVersion = false
         http.requestHeaderSize = MAX_REQUEST_HEADER_BYTES
         this.host = address
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -99,7 +99,7 @@
     val openRequests: Int get() = api.inFlightCount
 
     /** Number of callers' connections. */
-    val openConnections: Int get() = callers.connectors().sumOf { it.connectedEndPoints.size }
+    val openConnections: Int get() = callers.connections().size
 
     /** Binds the listeners and starts the loop. */
     fun start() {
@@ -187,9 +187,8 @@
     private fun applyDraining(closeIdle: Boolean) {
         api.draining = true
         if (!closeIdle) return
-        val (inUse, idle) = callers.connectors().flatMap { it.connectedEndPoints }.partition(watch::isBusy)
-        idle.forEach { it.close() }
-        events.write(LogEvent.CONNECTIONS_CLOSED, mapOf("closed" to "${idle.size}", "open" to "${inUse.size}"))
+        val (closed, open) = callers.connections().partition { it.closeIfIdle() }
+        events.write(LogEvent.CONNECTIONS_CLOSED, mapOf("closed" to "${closed.size}", "open" to "${open.size}"))
     }
 
     private fun releaseHandle(effect: RoutingEffect.ReleaseHandle) {
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.host.routing
 
+import io.anvilvalve.host.CallerConnection
 import io.anvilvalve.host.EventLog
 import io.anvilvalve.host.HostMetrics
 import io.anvilvalve.host.addConnector
@@ -67,6 +68,10 @@
 internal fun Javalin.connectors(): List<ServerConnector> =
     jettyServer().server().connectors.filterIsInstance<ServerConnector>()
 
+/** Connections that are open to a started listener. */
+internal fun Javalin.connections(): List<CallerConnection> =
+    connectors().flatMap { it.connectedEndPoints }.map { it.connection }.filterIsInstance<CallerConnection>()
+
 /** Applies the idle time-out that operators configured to new connections. */
 internal fun Javalin.setIdleTimeout(time: Duration) = connectors().forEach { it.idleTimeout = time.inWholeMilliseconds }
 
