Exit a planned stop only when no connection is open and none can be opened

The listener stayed open, so the system accepted connections and the host read requests while it exited, and the JVM takes some 330 ms to end after the decision.

Change: when no request is in flight, or at the limit, the listener is closed; the process exits when the last connection is closed. Idle connections are closed one by one after 200 ms without a request, not all at one moment. The limit is now 0.7 s before the platform's, because the end of the JVM is included.

DrainSpec covers the decision: an open connection, a count from before the listener was closed, a request in flight, the limit.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerConnection.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerConnection.kt
@@ -5,6 +5,8 @@
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.internal.HttpConnection
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.TimeSource
 
 /**
  * HTTP connection that can be closed between requests without losing one.
@@ -12,22 +14,33 @@
  * The threads that read or answer a request are counted from before its first byte is read. A close succeeds only while
  * there are none, and no request is read after it.
  */
-internal class CallerConnection(configuration: HttpConfiguration, connector: Connector, endPoint: EndPoint) :
-    HttpConnection(configuration, connector, endPoint) {
+internal class CallerConnection(
+    configuration: HttpConfiguration,
+    connector: Connector,
+    endPoint: EndPoint,
+    private val time: TimeSource.WithComparableMarks,
+) : HttpConnection(configuration, connector, endPoint) {
     private val users = AtomicInteger()
 
+    @Volatile
+    private var idleSince = time.markNow()
+
     override fun onFillable() {
         if (!enter()) return
         try {
             super.onFillable()
         } finally {
+            idleSince = time.markNow()
             users.decrementAndGet()
         }
     }
 
-    /** Closes the connection unless a request is being read or answered; returns whether it was closed. */
-    fun closeIfIdle(): Boolean {
-        if (!parser.isIdle || !users.compareAndSet(0, CLOSED)) return false
+    /**
+     * Closes the connection unless a request is being read or answered, or was within [idleTime]; returns whether it was
+     * closed.
+     */
+    fun closeIfIdle(idleTime: Duration = Duration.ZERO): Boolean {
+        if (!parser.isIdle || idleSince.elapsedNow() < idleTime || !users.compareAndSet(0, CLOSED)) return false
         endPoint.close()
         return true
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
@@ -7,10 +7,10 @@
 import io.javalin.config.JavalinConfig
 import io.javalin.http.HandlerType
 import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.Server
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import kotlin.time.Duration
+import kotlin.time.TimeSource
 
 private const val SPARE_THREADS = 32
 private const val MIN_THREADS = 8
@@ -58,6 +58,7 @@
  * Adds a connector at [address] and [port] with JSON error bodies and sets the size of the thread pool.
  *
  * @param threads maximum number of threads, to which spare threads are added.
+ * @param time measures how long connections are idle.
  * @param configureHttp adjusts the HTTP configuration of the connector.
  */
 internal fun JavalinConfig.listen(
@@ -66,6 +67,7 @@
     threads: Int,
     idleTimeout: Duration,
     log: EventLog,
+    time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     configureHttp: (HttpConfiguration) -> Unit = {},
 ) {
     startup.showJavalinBanner = false
@@ -73,7 +75,7 @@
     http.compressionStrategy = CompressionStrategy.NONE
     jetty.threadPool = QueuedThreadPool(threads + SPARE_THREADS, MIN_THREADS)
     jetty.modifyServer { it.errorHandler = JsonErrorHandler() }
-    addConnector(address, port, idleTimeout, configureHttp)
+    addConnector(address, port, idleTimeout, time, configureHttp)
     routes.error(NOT_FOUND, "*") { ctx ->
         if (!ctx.res().isCommitted) ctx.res().sendError(ResultCode.UNKNOWN_ROUTE, status = NOT_FOUND)
     }
@@ -88,16 +90,16 @@
     address: String,
     port: Int,
     idleTimeout: Duration,
+    time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     configureHttp: (HttpConfiguration) -> Unit = {},
-) = jetty.addConnector { server, http -> connector(server, http.also(configureHttp), address, port, idleTimeout) }
-
-private const val NOT_FOUND = 404
-
-private fun connector(server: Server, http: HttpConfiguration, address: String, port: Int, idleTimeout: Duration) =
-    ServerConnector(server, CallerConnectionFactory(http)).apply {
+) = jetty.addConnector { server, http ->
+    ServerConnector(server, CallerConnectionFactory(http.also(configureHttp), time)).apply {
         http.sendServerVersion = false
         http.requestHeaderSize = MAX_REQUEST_HEADER_BYTES
         this.host = address
         this.port = port
         this.idleTimeout = idleTimeout.inWholeMilliseconds
     }
+}
+
+private const val NOT_FOUND = 404
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -105,7 +105,7 @@
     fun start() {
         peers.start(::receive) { events.write(LogEvent.PEER_REFUSED, mapOf("reason" to it)) }
         loop.start()
-        callers = routingListener(settings.callers.listen, settings.callers.maxRequests, api, events).start()
+        callers = routingListener(settings.callers, api, events, time).start()
         operations =
             operationsListener(settings.operations, dialect.readinessPath, { ready && warm }, metrics, events).start()
         reader.start()
@@ -167,7 +167,8 @@
             is RoutingEffect.ReleaseHandle -> releaseHandle(effect)
             is RoutingEffect.LimitsChanged -> applyLimits(effect.limits)
             is RoutingEffect.ReadyChanged -> ready = effect.ready
-            is RoutingEffect.Draining -> applyDraining(effect.closeIdle)
+            RoutingEffect.Draining -> api.draining = true
+            is RoutingEffect.CloseConnections -> closeConnections(effect)
             is RoutingEffect.AcquireFencingToken -> orders.acquireFencingToken()
             is RoutingEffect.SendOrder -> orders.submit(effect)
             is RoutingEffect.PutState -> writer.put(effect)
@@ -184,11 +185,14 @@
         callers.setIdleTimeout(next.idleTimeout)
     }
 
-    private fun applyDraining(closeIdle: Boolean) {
-        api.draining = true
-        if (!closeIdle) return
-        val (closed, open) = callers.connections().partition { it.closeIfIdle() }
-        events.write(LogEvent.CONNECTIONS_CLOSED, mapOf("closed" to "${closed.size}", "open" to "${open.size}"))
+    private fun closeConnections(effect: RoutingEffect.CloseConnections) {
+        if (!effect.accepting) callers.stopAccepting()
+        val (closed, open) = callers.connections().partition { it.closeIfIdle(effect.idleTime) }
+        if (closed.isNotEmpty()) {
+            val counts = mapOf("closed" to "${closed.size}", "open" to "${open.size}")
+            events.write(LogEvent.CONNECTIONS_CLOSED, counts)
+        }
+        loop.post(RoutingEvent.ConnectionsCounted(open.size, effect.accepting))
     }
 
     private fun releaseHandle(effect: RoutingEffect.ReleaseHandle) {
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
@@ -6,7 +6,6 @@
 import io.anvilvalve.host.addConnector
 import io.anvilvalve.host.listen
 import io.anvilvalve.host.sendBody
-import io.anvilvalve.settings.Endpoint
 import io.anvilvalve.settings.RoutingHostSettings
 import io.javalin.Javalin
 import io.javalin.http.HandlerType
@@ -17,6 +16,7 @@
 import org.eclipse.jetty.server.ServerConnector
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private const val OPERATIONS_THREADS = 4
 private val operationsIdleTimeout = 30.seconds
@@ -36,17 +36,22 @@
 )
 
 /** Builds the callers' listener. */
-internal fun routingListener(at: Endpoint, maxRequests: Int, api: RoutingApi, log: EventLog): Javalin =
-    Javalin.create { config ->
-        config.listen(at.address, at.port, maxRequests, callersIdleTimeout, log) { http ->
-            http.uriCompliance = UriCompliance.UNSAFE
-            http.sendDateHeader = false
-        }
-        config.jetty.modifyServletContextHandler { it.allowAnyPath() }
-        callerMethods.forEach { method ->
-            config.routes.addHttpHandler(method, "*") { api.handle(it.req(), it.res()) }
-        }
+internal fun routingListener(
+    settings: RoutingHostSettings.Callers,
+    api: RoutingApi,
+    log: EventLog,
+    time: TimeSource.WithComparableMarks,
+): Javalin = Javalin.create { config ->
+    val at = settings.listen
+    config.listen(at.address, at.port, settings.maxRequests, callersIdleTimeout, log, time) { http ->
+        http.uriCompliance = UriCompliance.UNSAFE
+        http.sendDateHeader = false
+    }
+    config.jetty.modifyServletContextHandler { it.allowAnyPath() }
+    callerMethods.forEach { method ->
+        config.routes.addHttpHandler(method, "*") { api.handle(it.req(), it.res()) }
     }
+}
 
 /** Builds the listener for the platform's probes, with readiness at [readinessPath], and for the metrics. */
 internal fun operationsListener(
@@ -68,6 +73,13 @@
 internal fun Javalin.connectors(): List<ServerConnector> =
     jettyServer().server().connectors.filterIsInstance<ServerConnector>()
 
+/** Closes the ports of a started listener; connections that are open stay open. */
+internal fun Javalin.stopAccepting() = connectors().filter { it.isOpen }.forEach {
+    // By default a connector also shortens the idle time-out of its connections, and requests may run for longer.
+    it.shutdownIdleTimeout = it.idleTimeout
+    it.shutdown()
+}
+
 /** Connections that are open to a started listener. */
 internal fun Javalin.connections(): List<CallerConnection> =
     connectors().flatMap { it.connectedEndPoints }.map { it.connection }.filterIsInstance<CallerConnection>()
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/CallerConnectionSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/CallerConnectionSpec.kt
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.TimeSource
 
 private const val REQUEST = "GET / HTTP/1.1\r\nHost: maps.example\r\n\r\n"
 
@@ -94,7 +95,7 @@
         private inner class Factory :
             AbstractConnectionFactory("HTTP/1.1"),
             HttpConfiguration.ConnectionFactory {
-            private val factory = CallerConnectionFactory(HttpConfiguration())
+            private val factory = CallerConnectionFactory(HttpConfiguration(), TimeSource.Monotonic)
 
             override fun getHttpConfiguration(): HttpConfiguration = factory.httpConfiguration
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
@@ -2,14 +2,17 @@
 
 import io.anvilvalve.api.result.LogEvent
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Graceful shutdown: keeps serving until the balancer has detected that the host is not ready, closes idle connections,
- * then refuses new requests, and exits when none is in flight or just before [limit].
+ * Graceful shutdown: keeps serving until the balancer has detected that the host is not ready, then closes idle
+ * connections. Once no request is in flight it accepts no more connections, and it exits when the last one is closed or
+ * just before [limit].
  */
 internal class Drain(private val out: Outbox, private val limit: Duration) {
     private var startedAt: Duration? = null
-    private var idleClosed = false
+    private var accepting = true
+    private var limitPassed = false
     private var exited = false
 
     val active: Boolean get() = startedAt != null
@@ -25,7 +28,7 @@
             "limit_ms" to limit.inWholeMilliseconds,
             "uptime_ms" to out.now.inWholeMilliseconds,
         )
-        out.emit(RoutingEffect.Draining(closeIdle = false))
+        out.emit(RoutingEffect.Draining)
     }
 
     /**
@@ -35,30 +38,39 @@
     fun tick(inFlight: Int, onLimit: () -> Unit) {
         val elapsed = out.now - (startedAt ?: return)
         if (exited || elapsed < RoutingTimes.BALANCER_DETECTION_TIME) return
-        if (!idleClosed) {
-            idleClosed = true
-            out.emit(RoutingEffect.Draining(closeIdle = true))
-        }
-        if (elapsed >= limit - RoutingTimes.EXIT_MARGIN) {
+        if (!limitPassed && elapsed >= limit - RoutingTimes.EXIT_MARGIN) {
+            limitPassed = true
             if (inFlight > 0) out.log(LogEvent.DRAIN_DEADLINE_PASSED, "running" to inFlight)
             onLimit()
+        }
+        if (limitPassed || inFlight == 0) accepting = false
+        if (elapsed >= limit - RoutingTimes.EXIT_MARGIN + ANSWER_TIME) {
             exit()
-        } else if (inFlight == 0 && refusesNew) {
-            out.log(LogEvent.DRAIN_FINISHED, "after_ms" to elapsed.inWholeMilliseconds)
-            exit()
+        } else {
+            out.emit(RoutingEffect.CloseConnections(MIN_IDLE_TIME, accepting))
         }
     }
 
+    /** Exits if no connection is open and none can be opened. */
+    fun connectionsCounted(event: RoutingEvent.ConnectionsCounted, inFlight: Int) {
+        if (exited || event.accepting || event.open > 0 || inFlight > 0) return
+        out.log(LogEvent.DRAIN_FINISHED, "after_ms" to (out.now - (startedAt ?: return)).inWholeMilliseconds)
+        exit()
+    }
+
     private fun exit() {
         exited = true
         out.emit(RoutingEffect.Exit)
     }
 
     private companion object {
-        /**
-         * Time from the start of the drain until new requests are refused. Idle connections are closed
-         * [RoutingTimes.EXIT_MARGIN] earlier, so that requests already in transit are still served.
-         */
-        val REFUSAL_DELAY = RoutingTimes.BALANCER_DETECTION_TIME + RoutingTimes.EXIT_MARGIN
+        /** Time from the start of the drain until new requests are refused. */
+        val REFUSAL_DELAY = RoutingTimes.BALANCER_DETECTION_TIME + 400.milliseconds
+
+        /** On a busy host the first request on a new connection is read some 100 ms after the connection is opened. */
+        val MIN_IDLE_TIME = 200.milliseconds
+
+        /** Time to write the answers of the requests that the limit ended. */
+        val ANSWER_TIME = 200.milliseconds
     }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
@@ -62,11 +62,14 @@
     /** Readiness for the balancer changed. */
     data class ReadyChanged(val ready: Boolean) : RoutingEffect
 
+    /** Starts draining: answers from now on close their connections. */
+    data object Draining : RoutingEffect
+
     /**
-     * Starts draining: answers from now on close their connections, and idle connections are closed if [closeIdle] is
-     * set.
+     * Closes the connections of callers that have been idle for [idleTime], and stops accepting new ones unless
+     * [accepting] is set; reports the remaining ones with [RoutingEvent.ConnectionsCounted].
      */
-    data class Draining(val closeIdle: Boolean) : RoutingEffect
+    data class CloseConnections(val idleTime: Duration, val accepting: Boolean) : RoutingEffect
 
     /** Acquires a fencing token from the store. */
     data object AcquireFencingToken : RoutingEffect
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
@@ -39,6 +39,9 @@
     /** The outstanding order completed or failed. */
     data class OrderEnded(val outcome: OrderOutcome) : RoutingEvent
 
+    /** [open] connections of callers are open after a [RoutingEffect.CloseConnections] with the same [accepting]. */
+    data class ConnectionsCounted(val open: Int, val accepting: Boolean) : RoutingEvent
+
     /** The platform requested a graceful shutdown. */
     data object DrainRequested : RoutingEvent
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -132,6 +132,8 @@
 
             is RoutingEvent.OrderEnded -> orders.orderEnded(event.outcome)
 
+            is RoutingEvent.ConnectionsCounted -> drain.connectionsCounted(event, requests.size)
+
             RoutingEvent.DrainRequested -> drain.start()
 
             RoutingEvent.Tick -> tick()
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
@@ -53,8 +53,11 @@
     /** The balancer polls readiness once a second and removes a host after two failed polls. */
     val BALANCER_DETECTION_TIME: Duration = 2500.milliseconds
 
-    /** A host that is shutting down ends the remaining requests this long before the platform kills it. */
-    val EXIT_MARGIN: Duration = 400.milliseconds
+    /**
+     * A host that is shutting down ends the remaining requests this long before the platform kills it. The JVM takes
+     * some 330 ms to end after the exit was decided.
+     */
+    val EXIT_MARGIN: Duration = 700.milliseconds
 
     /**
      * An imbalance between prefill and decode engines must last this long, so that a crash with quick recovery changes
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/DrainSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/DrainSpec.kt
@@ -15,7 +15,7 @@
             val host = RoutingFixture()
             val effects = host.send(RoutingEvent.DrainRequested)
             effects.only<RoutingEffect.ReadyChanged>().ready shouldBe false
-            effects.only<RoutingEffect.Draining>().closeIdle shouldBe false
+            effects.only<RoutingEffect.Draining>()
             host.advance(2.seconds)
             host.arrive("/drawers/1").forward.server.service shouldBe plainService
         }
@@ -27,7 +27,37 @@
             host.advance(3.seconds).none<RoutingEffect.Exit>().shouldBeTrue()
             host.arrive("/sheets/2").refusal.code shouldBe ResultCode.DRAINING
             host.endAttempt(running, AttemptResult.Complete)
-            host.advance(100.milliseconds).only<RoutingEffect.Exit>()
+            host.advance(25.milliseconds).only<RoutingEffect.CloseConnections>().accepting shouldBe false
+            host.send(RoutingEvent.ConnectionsCounted(open = 0, accepting = false)).only<RoutingEffect.Exit>()
+        }
+
+        class Case(val name: String, val open: Int, val accepting: Boolean, val running: Boolean)
+
+        listOf(
+            Case("a connection is open", open = 1, accepting = false, running = false),
+            Case("connections were still accepted when they were counted", open = 0, accepting = true, running = false),
+            Case("a request is in flight", open = 0, accepting = false, running = true),
+        ).forEach { case ->
+            test("the process does not exit while ${case.name}") {
+                val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
+                val running = host.arrive("/sheets/1", promptTokens = 100, outputTokens = 100).forward
+                host.send(RoutingEvent.DrainRequested)
+                if (!case.running) host.endAttempt(running, AttemptResult.Complete)
+                host.advance(3.seconds)
+                val counted = RoutingEvent.ConnectionsCounted(case.open, case.accepting)
+                host.send(counted).none<RoutingEffect.Exit>().shouldBeTrue()
+            }
+        }
+
+        test("connections are accepted while a request is in flight") {
+            val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
+            val running = host.arrive("/sheets/1", promptTokens = 100, outputTokens = 100).forward
+            host.send(RoutingEvent.DrainRequested)
+            host.advance(4.seconds).filterIsInstance<RoutingEffect.CloseConnections>().all {
+                it.accepting
+            }.shouldBeTrue()
+            host.endAttempt(running, AttemptResult.Complete)
+            host.advance(25.milliseconds).only<RoutingEffect.CloseConnections>().accepting shouldBe false
         }
 
         test("requests still running at the limit are ended before the platform kills the process") {
@@ -35,8 +65,9 @@
             host.arrive("/sheets/1", promptTokens = 100, outputTokens = 100)
             host.send(RoutingEvent.DrainRequested)
             host.advance(7.seconds).none<RoutingEffect.Fail>().shouldBeTrue()
-            val effects = host.advance(1.seconds)
+            val effects = host.advance(400.milliseconds)
             effects.only<RoutingEffect.Fail>().code shouldBe ResultCode.STREAM_BROKEN
-            effects.only<RoutingEffect.Exit>()
+            effects.none<RoutingEffect.Exit>().shouldBeTrue()
+            host.advance(200.milliseconds).only<RoutingEffect.Exit>()
         }
     })
