Serve in a planned stop what can end before the limit, and refuse the rest

Cause: only the time since the signal was handled decided whether a request is taken, not how long it takes. A request that had waited for an engine was sent however little time was left.

Change: AnswerTimes estimates the time of an answer from those before it, for engines by expected output token. A request is taken if it is expected to end before the limit, and is checked again before it is sent; a queued one is refused as soon as it cannot. Streams still end at 2.9 s, because a caller may underestimate their length.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
@@ -8,6 +8,9 @@
  * Graceful shutdown: keeps serving until the balancer has detected that the host is not ready, then closes idle
  * connections. Once no request is in flight it accepts no more connections, and it exits when the last one is closed or
  * just before [limit].
+ *
+ * Requests that can end before the limit are served throughout: while all hosts of a data centre stop in short order,
+ * the balancer sends callers to hosts that are not ready.
  */
 internal class Drain(private val out: Outbox, private val limit: Duration) {
     private var startedAt: Duration? = null
@@ -17,9 +20,6 @@
 
     val active: Boolean get() = startedAt != null
 
-    /** Whether new requests are refused. */
-    val refusesNew: Boolean get() = startedAt?.let { out.now - it >= REFUSAL_DELAY } == true
-
     fun start() {
         if (active) return
         startedAt = out.now
@@ -31,6 +31,15 @@
         out.emit(RoutingEffect.Draining)
     }
 
+    /**
+     * Whether a request that is expected to end after [time] may be started. A [stream] takes much longer than expected
+     * if the caller underestimates its length, so none starts after [LAST_STREAM_DELAY].
+     */
+    fun canFinish(time: Duration, stream: Boolean): Boolean {
+        val elapsed = out.now - (startedAt ?: return true)
+        return elapsed + time <= limit - RoutingTimes.EXIT_MARGIN && (!stream || elapsed < LAST_STREAM_DELAY)
+    }
+
     /**
      * Advances the shutdown. [inFlight] is the number of requests in flight; [onLimit] ends those that remain shortly
      * before the limit.
@@ -64,8 +73,8 @@
     }
 
     private companion object {
-        /** Time from the start of the drain until new requests are refused. */
-        val REFUSAL_DELAY = RoutingTimes.BALANCER_DETECTION_TIME + 400.milliseconds
+        /** Longer than the balancer needs to detect that the host is not ready, and to use another one. */
+        val LAST_STREAM_DELAY = RoutingTimes.BALANCER_DETECTION_TIME + 400.milliseconds
 
         /** On a busy host the first request on a new connection is read some 100 ms after the connection is opened. */
         val MIN_IDLE_TIME = 200.milliseconds
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
@@ -46,6 +46,10 @@
     /** Maximum memory in tokens that the request can need at an engine. */
     val maxTokens: Int = promptTokens + request.outputTokens
 
+    /** Output tokens that the answer is expected to have. */
+    val expectedOutputTokens: Int =
+        request.expectedTokens ?: (request.outputTokens * EXPECTED_OUTPUT_SHARE).toInt()
+
     /** Output tokens generated so far. */
     var generatedTokens = 0
 
@@ -60,7 +64,7 @@
      */
     override val memoryTokens: Int
         get() {
-            val expected = request.expectedTokens ?: (request.outputTokens * EXPECTED_OUTPUT_SHARE).toInt()
+            val expected = expectedOutputTokens
             val remaining =
                 maxOf(expected - generatedTokens, expected / MIN_REMAINING_DIVISOR).coerceAtMost(request.outputTokens)
             val need = promptTokens + generatedTokens + (remaining * RESERVED_SHARE).toInt()
@@ -97,6 +101,7 @@
     /** Server of the latest call, at which capacity is reserved for the request. */
     var server: Backend? = null
     var prefillServer: Backend? = null
+    var placedAt = Duration.ZERO
     var sentAt = Duration.ZERO
     var startedAt: Duration? = null
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAdmission.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAdmission.kt
@@ -18,7 +18,6 @@
     private val out: Outbox,
     private val configuration: ConfigurationState,
     private val quotas: SharedQuotas,
-    private val drain: Drain,
     private val random: Random,
 ) {
     private class Refusal(
@@ -33,7 +32,6 @@
         check(request).fold({ refuse(request, it) }, accept)
 
     private fun check(request: InboundRequest): Either<Refusal, LiveRequest> = either {
-        ensure(!drain.refusesNew) { Refusal(ResultCode.DRAINING, SHORT_RETRY_AFTER) }
         ensure(configuration.current != null) { Refusal(ResultCode.NOT_READY, SHORT_RETRY_AFTER) }
         val route = ensureNotNull(configuration.route(request.host, request.path)) {
             Refusal(ResultCode.UNKNOWN_ROUTE)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -6,6 +6,7 @@
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.api.routing.Backend
+import io.anvilvalve.api.routing.RequestKind
 import io.anvilvalve.api.routing.ServiceId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -25,14 +26,17 @@
     private val outcomes: ServerOutcomes,
     private val delegated: DelegatedPlacement,
     private val remote: RemotePlacements,
+    private val drain: Drain,
     private val placer: () -> Member?,
 ) {
     private val inFlight = LinkedHashMap<RequestId, LiveRequest>()
+    private val answerTimes = AnswerTimes()
 
     val size: Int get() = inFlight.size
 
     fun accept(request: LiveRequest) {
         inFlight[request.id] = request
+        if (!canFinish(request, queues.expectedWait(request))) return refuse(request, ResultCode.DRAINING)
         retries.recordRequest(request.service.id)
         queues.add(request)
         place(request.service.id)
@@ -116,6 +120,7 @@
             AttemptResult.Complete -> {
                 request.source = null
                 outcomes.answered(server, out.now - request.sentAt, request.reservedTokens)
+                answerTimes.record(request, out.now - request.placedAt)
                 end(request, code = null)
             }
 
@@ -165,7 +170,7 @@
         for (request in inFlight.values.toList()) {
             when {
                 out.now >= request.deadlineAt -> timedOut(request)
-                request.phase == LiveRequest.Phase.QUEUED -> if (queues.isOverdue(request)) endUnplaced(request)
+                request.phase == LiveRequest.Phase.QUEUED -> endIfHopeless(request)
                 request.phase == LiveRequest.Phase.PREFILL -> abandonUnresponsivePrefill(request)
                 else -> abandonUnresponsiveServer(request)
             }
@@ -173,6 +178,13 @@
         placeAll()
     }
 
+    /** Refuses a queued request that has waited too long, or that cannot end before this host must exit. */
+    private fun endIfHopeless(request: LiveRequest) = when {
+        queues.isOverdue(request) -> endUnplaced(request)
+        request.runs == 0 && !canFinish(request) -> refuse(request, ResultCode.DRAINING)
+        else -> Unit
+    }
+
     fun failAll() = inFlight.values.toList().forEach { request ->
         out.emit(RoutingEffect.Abandon(request.id, request.attempt))
         if (mayHaveRun(request)) fail(request, ResultCode.STREAM_BROKEN) else refuse(request, ResultCode.DRAINING)
@@ -211,6 +223,8 @@
     }
 
     private fun start(request: LiveRequest, selected: SelectedServers) {
+        if (request.runs == 0 && !canFinish(request)) return refuse(request, ResultCode.DRAINING)
+        request.placedAt = out.now
         request.server = selected.server
         request.reservedTokens = if (request.service.engine == null) 0 else request.memoryTokens
         loads.add(selected.server.id, request.reservedTokens)
@@ -222,6 +236,10 @@
         }
     }
 
+    /** Whether [request], sent after [wait], is expected to end before this host must exit. */
+    private fun canFinish(request: LiveRequest, wait: Duration = Duration.ZERO): Boolean =
+        drain.canFinish(wait + answerTimes.expected(request), stream = request.route.kind == RequestKind.STREAM)
+
     private fun validSource(request: LiveRequest) = request.source?.takeIf { out.now < request.sourceExpiresAt }
 
     private fun startPrefill(request: LiveRequest, server: Backend, tokensAhead: Int) {
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -43,13 +43,13 @@
     private val retries = SharedRetries(out, coordinators, settings)
     private val queues = Queues(self, out, placement, peers, coordinators)
     private val drain = Drain(out, settings.drainLimit)
-    private val admission = RequestAdmission(out, configuration, quotas, drain, random)
+    private val admission = RequestAdmission(out, configuration, quotas, random)
     private val completion = RequestCompletion(out, quotas, configuration, random)
     private val delegated: DelegatedPlacement =
         DelegatedPlacement(out, coordinators, placement, random.nextLong(MAX_FIRST_NUMBER), ::send)
     private val remote: RemotePlacements = RemotePlacements(self.incarnation, out, queues, placement, loads, ::send)
     private val requests =
-        Requests(out, placement, loads, retries, queues, completion, outcomes, delegated, remote) {
+        Requests(out, placement, loads, retries, queues, completion, outcomes, delegated, remote, drain) {
             coordinators.placer(isAvailable)
         }
     private val orders = OrderDispatcher(out, peers, balance, configuration, settings)
