Answer a request that is being read when a drained entry host stops

The entry daemon of the product's own interface has the same fault as the one on the platform: after a drain it closed its listener together with all connections, so a request that was being read at this moment got no answer.

EntryHost.finishCallers closes the port and the idle connections, and waits for the others for up to 2 s before the host closes. EntryHostSpec fails without it: the connection ends before the answer.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/DaemonCommand.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/DaemonCommand.kt
@@ -78,6 +78,7 @@
         } catch (_: TimeoutException) {
             false
         }
+        host.finishCallers()
         host.close()
         Runtime.getRuntime().halt(exitCode(clean))
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/EntryHost.kt
@@ -35,6 +35,7 @@
 import java.time.Clock
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -116,6 +117,20 @@
         loop.post(HostEvent.DrainRequested(deadline))
     }
 
+    /**
+     * Closes the callers' port after a drain, and waits until the requests that are being read have been refused, at most
+     * for [limit].
+     */
+    fun finishCallers(limit: Duration = FINISH_LIMIT) {
+        val closed = callers.stopAccepting()
+        callers.connections().forEach { it.closeIfIdle() }
+        try {
+            closed.get(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            events.write(LogEvent.DRAIN_DEADLINE_PASSED, mapOf("connections" to "${callers.connections().size}"))
+        }
+    }
+
     /** Stops without a drain; the connections of open requests are closed. */
     override fun close() {
         state.draining = true
@@ -204,6 +219,9 @@
         /** Interval documented at [HostEvent.Tick]. */
         val TICK_INTERVAL = 50.milliseconds
 
+        /** All requests have ended before; only callers that send slowly need this time. */
+        val FINISH_LIMIT = 2.seconds
+
         /** A leaving backend server must be detected within the freshness time of 8 s. */
         val LIVE_LIST_POLL_INTERVAL = 2.seconds
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 
@@ -103,3 +104,23 @@
 }
 
 private const val NOT_FOUND = 404
+
+/** Connectors of a started listener. */
+internal fun Javalin.connectors(): List<ServerConnector> =
+    jettyServer().server().connectors.filterIsInstance<ServerConnector>()
+
+/** Connections that are open to a started listener. */
+internal fun Javalin.connections(): List<CallerConnection> =
+    connectors().flatMap { it.connectedEndPoints }.map { it.connection }.filterIsInstance<CallerConnection>()
+
+/**
+ * Closes the ports of a started listener; connections that are open stay open. The result is completed when the last one
+ * is closed.
+ */
+internal fun Javalin.stopAccepting(): CompletableFuture<Void> = CompletableFuture.allOf(
+    *connectors().filter { it.isOpen }.map {
+        // By default a connector also shortens the idle time-out of its connections, and requests may run for longer.
+        it.shutdownIdleTimeout = it.idleTimeout
+        it.shutdown()
+    }.toTypedArray(),
+)
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -15,6 +15,8 @@
 import io.anvilvalve.host.CallerWatch
 import io.anvilvalve.host.EventLog
 import io.anvilvalve.host.HostLoop
+import io.anvilvalve.host.connections
+import io.anvilvalve.host.stopAccepting
 import io.anvilvalve.net.HttpClients
 import io.anvilvalve.net.KtorPeerTransport
 import io.anvilvalve.net.PeerTransport
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingListeners.kt
@@ -1,9 +1,9 @@
 package io.anvilvalve.host.routing
 
-import io.anvilvalve.host.CallerConnection
 import io.anvilvalve.host.EventLog
 import io.anvilvalve.host.HostMetrics
 import io.anvilvalve.host.addConnector
+import io.anvilvalve.host.connectors
 import io.anvilvalve.host.listen
 import io.anvilvalve.host.sendBody
 import io.anvilvalve.settings.RoutingHostSettings
@@ -13,7 +13,6 @@
 import org.eclipse.jetty.ee10.servlet.ServletContextHandler
 import org.eclipse.jetty.http.UriCompliance
 import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.ServerConnector
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -69,21 +68,6 @@
     config.routes.get("/metrics") { it.res().sendBody(HostMetrics.CONTENT_TYPE, metrics.expose()) }
 }
 
-/** Connectors of a started listener. */
-internal fun Javalin.connectors(): List<ServerConnector> =
-    jettyServer().server().connectors.filterIsInstance<ServerConnector>()
-
-/** Closes the ports of a started listener; connections that are open stay open. */
-internal fun Javalin.stopAccepting() = connectors().filter { it.isOpen }.forEach {
-    // By default a connector also shortens the idle time-out of its connections, and requests may run for longer.
-    it.shutdownIdleTimeout = it.idleTimeout
-    it.shutdown()
-}
-
-/** Connections that are open to a started listener. */
-internal fun Javalin.connections(): List<CallerConnection> =
-    connectors().flatMap { it.connectedEndPoints }.map { it.connection }.filterIsInstance<CallerConnection>()
-
 /** Applies the idle time-out that operators configured to new connections. */
 internal fun Javalin.setIdleTimeout(time: Duration) = connectors().forEach { it.idleTimeout = time.inWholeMilliseconds }
 
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/EntryHostSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/EntryHostSpec.kt
@@ -23,8 +23,10 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 internal val http: HttpClient = HttpClient.newHttpClient()
 
@@ -241,6 +243,25 @@
             }
         }
 
+        test("a request that is being read when the host has drained is answered before the host stops") {
+            TestHost().use { test ->
+                connect(test.host.callerPort).use { socket ->
+                    val body = """{"model":"m","prompt":"hi"}"""
+                    val request = rawRequest("Expect: 100-continue\r\n", body).decodeToString()
+                    socket.getOutputStream().write(request.removeSuffix(body).toByteArray())
+                    val answer = socket.getInputStream().bufferedReader()
+                    answer.readLine() shouldBe "HTTP/1.1 100 Continue"
+                    answer.readLine() shouldBe ""
+                    val stopped = CompletableFuture.runAsync { test.host.finishCallers(30.seconds) }
+                    while (runCatching { connect(test.host.callerPort).close() }.isSuccess) Thread.onSpinWait()
+                    stopped.isDone shouldBe false
+                    socket.getOutputStream().write(body.toByteArray())
+                    answer.readLine() shouldBe "HTTP/1.1 200 OK"
+                    stopped.get(30, TimeUnit.SECONDS)
+                }
+            }
+        }
+
         test("concurrent answers do not mix their tokens") {
             TestHost().use { test ->
                 test.backends.stream = { request ->
