Do not wait for the balancer when a host is stopped during its start

Cause: the host counts the grace time from the moment at which it handles the signal, and a JVM that starts handles it late. Such a host then served for 2.5 s more, although the balancer had never been told that it was ready.

Change: a host that never reported ready closes its listener as soon as no request is in flight. A stop before the listener exists is possible and no longer an error.

DrainSpec failed before: no CloseConnections in the first tick.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -82,7 +82,9 @@
     private val writer = StateWriter(store, events::write)
     private val reader = StateReader(store, ::announce, loop::post)
 
-    private lateinit var callers: Javalin
+    /** Null until the host accepts callers; a stop may be requested before. */
+    @Volatile
+    private var callers: Javalin? = null
     private lateinit var operations: Javalin
 
     @Volatile
@@ -101,7 +103,7 @@
     val openRequests: Int get() = api.inFlightCount
 
     /** Number of callers' connections. */
-    val openConnections: Int get() = callers.connections().size
+    val openConnections: Int get() = callers?.connections().orEmpty().size
 
     /** Binds the listeners and starts the loop. */
     fun start() {
@@ -123,13 +125,13 @@
     }
 
     /** Turns readiness off and lets the requests in flight end; [exit] completes when the process may exit. */
-    fun drain() = loop.post(RoutingEvent.DrainRequested)
+    fun drain() = loop.post(RoutingEvent.DrainRequested(announced = ready && warm))
 
     override fun close() {
         reader.close()
         orders.close()
         writer.close()
-        callers.stop()
+        callers?.stop()
         operations.stop()
         watch.close()
         loop.stop()
@@ -184,12 +186,12 @@
 
     private fun applyLimits(next: IngressLimits) {
         limits = next
-        callers.setIdleTimeout(next.idleTimeout)
+        callers?.setIdleTimeout(next.idleTimeout)
     }
 
     private fun closeConnections(effect: RoutingEffect.CloseConnections) {
-        if (!effect.accepting) callers.stopAccepting()
-        val (closed, open) = callers.connections().partition { it.closeIfIdle(effect.idleTime) }
+        if (!effect.accepting) callers?.stopAccepting()
+        val (closed, open) = callers?.connections().orEmpty().partition { it.closeIfIdle(effect.idleTime) }
         if (closed.isNotEmpty()) {
             val counts = mapOf("closed" to "${closed.size}", "open" to "${open.size}")
             events.write(LogEvent.CONNECTIONS_CLOSED, counts)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
@@ -14,15 +14,21 @@
  */
 internal class Drain(private val out: Outbox, private val limit: Duration) {
     private var startedAt: Duration? = null
+    private var detectionTime = Duration.ZERO
     private var accepting = true
     private var limitPassed = false
     private var exited = false
 
     val active: Boolean get() = startedAt != null
 
-    fun start() {
+    /**
+     * Starts the shutdown. A host that was never [announced] as ready need not wait for the balancer; the platform has
+     * stopped it during its start, and more of the limit may have passed than the host can know.
+     */
+    fun start(announced: Boolean) {
         if (active) return
         startedAt = out.now
+        if (announced) detectionTime = RoutingTimes.BALANCER_DETECTION_TIME
         out.log(
             LogEvent.DRAIN_STARTED,
             "limit_ms" to limit.inWholeMilliseconds,
@@ -46,7 +52,7 @@
      */
     fun tick(inFlight: Int, onLimit: () -> Unit) {
         val elapsed = out.now - (startedAt ?: return)
-        if (exited || elapsed < RoutingTimes.BALANCER_DETECTION_TIME) return
+        if (exited || elapsed < detectionTime) return
         if (!limitPassed && elapsed >= limit - RoutingTimes.EXIT_MARGIN) {
             limitPassed = true
             if (inFlight > 0) out.log(LogEvent.DRAIN_DEADLINE_PASSED, "running" to inFlight)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
@@ -42,8 +42,8 @@
     /** [open] connections of callers are open after a [RoutingEffect.CloseConnections] with the same [accepting]. */
     data class ConnectionsCounted(val open: Int, val accepting: Boolean) : RoutingEvent
 
-    /** The platform requested a graceful shutdown. */
-    data object DrainRequested : RoutingEvent
+    /** The platform requested a graceful shutdown; [announced] tells whether the balancer was told that the host is ready. */
+    data class DrainRequested(val announced: Boolean = true) : RoutingEvent
 
     /** Time has passed; sent every 25 ms while requests are in flight or a message waits, otherwise every 100 ms. */
     data object Tick : RoutingEvent
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -134,7 +134,7 @@
 
             is RoutingEvent.ConnectionsCounted -> drain.connectionsCounted(event, requests.size)
 
-            RoutingEvent.DrainRequested -> drain.start()
+            is RoutingEvent.DrainRequested -> drain.start(event.announced)
 
             RoutingEvent.Tick -> tick()
         }
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/DrainSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/DrainSpec.kt
@@ -14,7 +14,7 @@
     FunSpec({
         test("a host that drains is not ready at once and serves requests until the balancer has detected it") {
             val host = RoutingFixture()
-            val effects = host.send(RoutingEvent.DrainRequested)
+            val effects = host.send(RoutingEvent.DrainRequested())
             effects.only<RoutingEffect.ReadyChanged>().ready shouldBe false
             effects.only<RoutingEffect.Draining>()
             host.advance(2.seconds)
@@ -24,7 +24,7 @@
         test("later streams are refused as not executed, and the process exits when the running ones have ended") {
             val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
             val running = host.arrive("/sheets/1", promptTokens = 100, outputTokens = 100).forward
-            host.send(RoutingEvent.DrainRequested)
+            host.send(RoutingEvent.DrainRequested())
             host.advance(3.seconds).none<RoutingEffect.Exit>().shouldBeTrue()
             host.arrive("/sheets/2").refusal.code shouldBe ResultCode.DRAINING
             host.endAttempt(running, AttemptResult.Complete)
@@ -43,7 +43,7 @@
         ).forEach { case ->
             test("in a planned stop ${case.name}") {
                 val host = RoutingFixture(backends = listOf(plain("p1"), engine("e1", Stage.DECODE)))
-                host.send(RoutingEvent.DrainRequested)
+                host.send(RoutingEvent.DrainRequested())
                 host.advance(case.after)
                 val arrival = host.arrive(case.path, promptTokens = 100, outputTokens = case.outputTokens)
                 if (case.served) arrival.forward else arrival.refusal.code shouldBe ResultCode.DRAINING
@@ -53,7 +53,7 @@
         test("a stream that waits in a planned stop until it would be cut off is refused and not sent") {
             val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
             val running = (1..8).map { host.arrive("/sheets/$it", promptTokens = 100, outputTokens = 100).forward }
-            host.send(RoutingEvent.DrainRequested)
+            host.send(RoutingEvent.DrainRequested())
             host.advance(1.seconds)
             val waiting = host.arrive("/sheets/9", promptTokens = 100, outputTokens = 75)
             waiting.isQueued.shouldBeTrue()
@@ -62,6 +62,13 @@
             host.endAttempt(running.first(), AttemptResult.Complete).none<RoutingEffect.Forward>().shouldBeTrue()
         }
 
+        test("a host that is stopped during its start exits as soon as no request is in flight") {
+            val host = RoutingFixture()
+            host.send(RoutingEvent.DrainRequested(announced = false))
+            host.advance(25.milliseconds).only<RoutingEffect.CloseConnections>().accepting shouldBe false
+            host.send(RoutingEvent.ConnectionsCounted(open = 0, accepting = false)).only<RoutingEffect.Exit>()
+        }
+
         class Case(val name: String, val open: Int, val accepting: Boolean, val running: Boolean)
 
         listOf(
@@ -72,7 +79,7 @@
             test("the process does not exit while ${case.name}") {
                 val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
                 val running = host.arrive("/sheets/1", promptTokens = 100, outputTokens = 100).forward
-                host.send(RoutingEvent.DrainRequested)
+                host.send(RoutingEvent.DrainRequested())
                 if (!case.running) host.endAttempt(running, AttemptResult.Complete)
                 host.advance(3.seconds)
                 val counted = RoutingEvent.ConnectionsCounted(case.open, case.accepting)
@@ -83,7 +90,7 @@
         test("connections are accepted while a request is in flight") {
             val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
             val running = host.arrive("/sheets/1", promptTokens = 100, outputTokens = 100).forward
-            host.send(RoutingEvent.DrainRequested)
+            host.send(RoutingEvent.DrainRequested())
             host.advance(4.seconds).filterIsInstance<RoutingEffect.CloseConnections>().all {
                 it.accepting
             }.shouldBeTrue()
@@ -94,7 +101,7 @@
         test("requests still running at the limit are ended before the platform kills the process") {
             val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
             host.arrive("/sheets/1", promptTokens = 100, outputTokens = 100)
-            host.send(RoutingEvent.DrainRequested)
+            host.send(RoutingEvent.DrainRequested())
             host.advance(7.seconds).none<RoutingEffect.Fail>().shouldBeTrue()
             val effects = host.advance(400.milliseconds)
             effects.only<RoutingEffect.Fail>().code shouldBe ResultCode.STREAM_BROKEN
