Keep serving in a planned stop while too few other hosts do

Cause: a host that stops knew nothing of the others. It expected that they can serve its callers.

Change: Gossip says whether its sender is ready, and for how long a sender that stops still accepts connections. A host to which callers come exits only while at least 0.4 of the hosts serve; the one whose limit comes first goes first. While most hosts are not ready, streams are refused only if they are expected to be cut off, not if they may be, and refused callers are told to return after the time of a restart. In a fleet that reports to coordinators, other hosts count as ready while they are alive. Information is at most as old as a peer counts as alive.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
@@ -157,6 +157,8 @@
      * @property outcomes calls to backend servers that ended since the previous message.
      * @property grants grants of coordinators that [loads] includes.
      * @property isReport whether the sender sends this message to the coordinators only.
+     * @property ready whether the sender reports to the balancer that it serves callers.
+     * @property drainMillis time for which a sender that stops accepts connections at most; null if it does not stop.
      */
     @Serializable
     @SerialName("go")
@@ -175,6 +177,8 @@
         @CborLabel(12) val outcomes: List<ServerOutcome> = emptyList(),
         @CborLabel(13) val grants: List<GrantsSeen> = emptyList(),
         @CborLabel(14) val isReport: Boolean = false,
+        @CborLabel(18) val ready: Boolean = true,
+        @CborLabel(19) val drainMillis: Int? = null,
     ) : PeerMessage
 
     /** Asks for entries of the store that are newer than the offsets that the sender knows. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/AnswerTimes.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/AnswerTimes.kt
@@ -27,12 +27,13 @@
     }
 
     /**
-     * Time within which most answers like that of [request] are complete: the mean and one mean absolute deviation. With
-     * two, a fleet whose hosts all stop in short order refused more streams than it would have cut off.
+     * Time within which the answer of [request] is likely to be complete: the mean, and two mean absolute deviations
+     * more if the estimate must be [cautious].
      */
-    fun expected(request: LiveRequest): Duration {
+    fun expected(request: LiveRequest, cautious: Boolean): Duration {
         val estimate = estimateFor(request)
-        return ((estimate.mean + estimate.deviation) * unitsOf(request)).toLong().milliseconds
+        val margin = if (cautious) CAUTIOUS_DEVIATIONS * estimate.deviation else 0.0
+        return ((estimate.mean + margin) * unitsOf(request)).toLong().milliseconds
     }
 
     private fun estimateFor(request: LiveRequest) = estimates.getOrPut(request.service.id) {
@@ -45,6 +46,7 @@
 
     private companion object {
         const val SAMPLE_WEIGHT = 0.1
+        const val CAUTIOUS_DEVIATIONS = 2
 
         /** Used until answers have been measured. */
         const val FIRST_CALL_MILLIS = 100.0
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
@@ -9,12 +9,14 @@
  * connections. Once no request is in flight it accepts no more connections, and it exits when the last one is closed or
  * just before [limit].
  *
- * Requests that can end before the limit are served throughout: while all hosts of a data centre stop in short order,
- * the balancer sends callers to hosts that are not ready.
+ * If all hosts stop in short order, the balancer sends callers to hosts that are not ready. Therefore requests that can
+ * end before the limit are served throughout, and a host waits with its exit while less than [MIN_SERVING_SHARE] of the
+ * hosts serve. Hosts whose limit comes first exit first.
  */
-internal class Drain(private val out: Outbox, private val limit: Duration) {
+internal class Drain(private val out: Outbox, private val limit: Duration, private val peers: Peers) {
     private var startedAt: Duration? = null
     private var detectionTime = Duration.ZERO
+    private var lastArrivalAt = Duration.ZERO
     private var accepting = true
     private var limitPassed = false
     private var exited = false
@@ -37,15 +39,36 @@
         out.emit(RoutingEffect.Draining)
     }
 
+    /** Records that a request arrived. */
+    fun requestArrived() {
+        lastArrivalAt = out.now
+    }
+
+    /** Whether refused callers will probably be served by another host at once. */
+    val canOthersServe: Boolean get() = peers.areMostReady
+
+    /** Time after which a refused caller should return: at once if others can serve it, else after a restart. */
+    val retryAfter: Duration get() = if (canOthersServe) Duration.ZERO else RESTART_TIME
+
     /**
      * Whether a request that is expected to end after [time] may be started. A [stream] takes much longer than expected
      * if the caller underestimates its length, so none starts after [LAST_STREAM_DELAY].
      */
     fun canFinish(time: Duration, stream: Boolean): Boolean {
         val elapsed = out.now - (startedAt ?: return true)
-        return elapsed + time <= limit - RoutingTimes.EXIT_MARGIN && (!stream || elapsed < LAST_STREAM_DELAY)
+        return out.now + time <= endsAt && (!stream || elapsed < LAST_STREAM_DELAY)
     }
 
+    /** Whether callers still come to this host, and too few others serve them. */
+    private val isNeeded: Boolean
+        get() = out.now - lastArrivalAt < QUIET_TIME &&
+            peers.servingCount(endsAt) < MIN_SERVING_SHARE * (peers.size + 1)
+
+    private val endsAt: Duration get() = (startedAt ?: Duration.ZERO) + limit - RoutingTimes.EXIT_MARGIN
+
+    /** Time for which this host accepts connections at most; null if it does not stop. */
+    val acceptingTime: Duration? get() = startedAt?.let { if (accepting) endsAt - out.now else Duration.ZERO }
+
     /**
      * Advances the shutdown. [inFlight] is the number of requests in flight; [onLimit] ends those that remain shortly
      * before the limit.
@@ -53,13 +76,13 @@
     fun tick(inFlight: Int, onLimit: () -> Unit) {
         val elapsed = out.now - (startedAt ?: return)
         if (exited || elapsed < detectionTime) return
-        if (!limitPassed && elapsed >= limit - RoutingTimes.EXIT_MARGIN) {
+        if (!limitPassed && out.now >= endsAt) {
             limitPassed = true
             if (inFlight > 0) out.log(LogEvent.DRAIN_DEADLINE_PASSED, "running" to inFlight)
             onLimit()
         }
-        if (limitPassed || inFlight == 0) accepting = false
-        if (elapsed >= limit - RoutingTimes.EXIT_MARGIN + ANSWER_TIME) {
+        if (limitPassed || (inFlight == 0 && !isNeeded)) accepting = false
+        if (out.now >= endsAt + ANSWER_TIME) {
             exit()
         } else {
             out.emit(RoutingEffect.CloseConnections(MIN_IDLE_TIME, accepting))
@@ -82,6 +105,15 @@
         /** Longer than the balancer needs to detect that the host is not ready, and to use another one. */
         val LAST_STREAM_DELAY = RoutingTimes.BALANCER_DETECTION_TIME + 400.milliseconds
 
+        /** Time until the first of several hosts that stop together is likely to be ready again. */
+        val RESTART_TIME = 3_000.milliseconds
+
+        /** Enough hosts for the usual load, and few enough that the others can restart meanwhile. */
+        const val MIN_SERVING_SHARE = 0.4
+
+        /** The balancer sends callers to hosts that are not ready while this host receives requests at least so often. */
+        val QUIET_TIME = 1_000.milliseconds
+
         /** On a busy host the first request on a new connection is read some 100 ms after the connection is opened. */
         val MIN_IDLE_TIME = 200.milliseconds
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.peer.PeerMessage
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Short form of an incarnation in messages that list many hosts. */
 internal val Incarnation.hash: Int get() = value.hashCode()
@@ -112,6 +113,21 @@
         return notReceiving
     }
 
+    /** Whether most other hosts are ready; one whose messages go to coordinators only counts as ready while it is alive. */
+    val areMostReady: Boolean
+        get() = peers.values.count { isAlive(it) && it.lastMessage?.ready != false } > peers.size * HALF
+
+    /** Number of other hosts that are ready, or that stop and accept connections until after [time]. */
+    fun servingCount(time: Duration): Int = peers.values.count { isAlive(it) && servesUntil(it) > time }
+
+    private fun servesUntil(peer: Peer): Duration {
+        val message = peer.lastMessage
+        return when {
+            message == null || message.ready -> Duration.INFINITE
+            else -> (peer.lastReceivedAt ?: Duration.ZERO) + (message.drainMillis ?: 0).milliseconds
+        }
+    }
+
     /** Share of all hosts from which this host recently received messages, including itself. */
     val heardShare: Double get() = (all.count(::isHeard) + 1.0) / (size + 1)
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
@@ -13,10 +13,13 @@
     private val configuration: ConfigurationState,
     private val random: Random,
 ) {
-    /** Refuses [request], which was not executed and could be placed after [expectedWait], and states when to retry. */
+    /**
+     * Refuses [request], which was not executed and could be placed after [expectedWait], here or at another host, and
+     * states when to retry.
+     */
     fun refuse(request: LiveRequest, code: ResultCode, expectedWait: Duration) {
         request.organisation?.let { quotas.release(it.id, request.cost) }
-        val retryAfter = if (code == ResultCode.DRAINING) MIN_RETRY_AFTER else retryAfter(request, expectedWait)
+        val retryAfter = retryAfter(request, expectedWait)
         out.log(
             LogEvent.REQUEST_REFUSED,
             *fields(request),
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -236,9 +236,14 @@
         }
     }
 
-    /** Whether [request], sent after [wait], is expected to end before this host must exit. */
-    private fun canFinish(request: LiveRequest, wait: Duration = Duration.ZERO): Boolean =
-        drain.canFinish(wait + answerTimes.expected(request), stream = request.route.kind == RequestKind.STREAM)
+    /**
+     * Whether [request], sent after [wait], is expected to end before this host must exit. While few other hosts are
+     * ready, a request that will probably end in time is better started than refused.
+     */
+    private fun canFinish(request: LiveRequest, wait: Duration = Duration.ZERO): Boolean {
+        val expected = answerTimes.expected(request, cautious = drain.canOthersServe)
+        return drain.canFinish(wait + expected, stream = request.route.kind == RequestKind.STREAM)
+    }
 
     private fun validSource(request: LiveRequest) = request.source?.takeIf { out.now < request.sourceExpiresAt }
 
@@ -424,7 +429,8 @@
     private fun refuse(request: LiveRequest, code: ResultCode, wait: Duration? = null) {
         release(request)
         dropSource(request)
-        completion.refuse(request, code, wait ?: queues.expectedWait(request))
+        val returnAfter = if (code == ResultCode.DRAINING) drain.retryAfter else queues.expectedWait(request)
+        completion.refuse(request, code, wait ?: returnAfter)
         inFlight.remove(request.id)
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -42,7 +42,7 @@
     private val quotas = SharedQuotas(out, coordinators, settings.quota)
     private val retries = SharedRetries(out, coordinators, settings)
     private val queues = Queues(self, out, placement, peers, coordinators)
-    private val drain = Drain(out, settings.drainLimit)
+    private val drain = Drain(out, settings.drainLimit, peers)
     private val admission = RequestAdmission(out, configuration, quotas, random)
     private val completion = RequestCompletion(out, quotas, configuration, random)
     private val delegated: DelegatedPlacement =
@@ -72,6 +72,8 @@
             outcomes = outcomes.drain(),
             grants = delegated.grantsSeen,
             isReport = !coordinators.isDirect,
+            ready = ready,
+            drainMillis = drain.acceptingTime?.inWholeMilliseconds?.toInt(),
         )
     }
     private val summaries: SummarySender = SummarySender(out, peers, coordinators, ::send) { number, alive ->
@@ -110,7 +112,10 @@
         when (event) {
             is RoutingEvent.StateRead -> state.readCompleted(event.topic, event.result)
 
-            is RoutingEvent.Arrived -> gossipIfChanged { admission.admit(event.request, requests::accept) }
+            is RoutingEvent.Arrived -> {
+                drain.requestArrived()
+                gossipIfChanged { admission.admit(event.request, requests::accept) }
+            }
 
             is RoutingEvent.CallerGone -> gossipIfChanged { requests.callerGone(event.id, event.closedHere) }
 
@@ -291,6 +296,7 @@
         out.emit(RoutingEffect.ReadyChanged(ready))
         // The other hosts must not wait for answers of a host that stops.
         summaries.sendWithin(Duration.ZERO)
+        gossip.sendWithin(RoutingTimes.GOSSIP_DELAY)
     }
 
     private inner class StateSink : StateFollower.Sink {
