Let the hosts that callers are sent to exit last, and return refused callers to a ready host

Refused streams came back after 3 s and were late, although some hosts were ready.

While no host is ready, the balancer sends callers to the hosts of their own data centre, ready or not.

Change: while no host is ready, a host exits only after another one of its data centre can serve in its place. Refused callers return at once if any host is ready. A stream whose caller was refused before is refused again only if it is expected to be cut off.

DrainSpec covers the three decisions; its cases fail before the change.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
@@ -11,7 +11,7 @@
  *
  * If all hosts stop in short order, the balancer sends callers to hosts that are not ready. Therefore requests that can
  * end before the limit are served throughout, and a host waits with its exit while less than [MIN_SERVING_SHARE] of the
- * hosts serve. Hosts whose limit comes first exit first.
+ * hosts serve, or none that its callers are sent to. Hosts whose limit comes first exit first.
  */
 internal class Drain(private val out: Outbox, private val limit: Duration, private val peers: Peers) {
     private var startedAt: Duration? = null
@@ -44,11 +44,11 @@
         lastArrivalAt = out.now
     }
 
-    /** Whether refused callers will probably be served by another host at once. */
-    val canOthersServe: Boolean get() = peers.areMostReady
+    /** Whether callers refused by this host will probably be served by another one at once. */
+    val canOthersServe: Boolean get() = peers.readyCount > peers.size * MOST
 
-    /** Time after which a refused caller should return: at once if others can serve it, else after a restart. */
-    val retryAfter: Duration get() = if (canOthersServe) Duration.ZERO else RESTART_TIME
+    /** Time after which a refused caller should return: at once if another host is ready, else after a restart. */
+    val retryAfter: Duration get() = if (peers.readyCount > 0) Duration.ZERO else RESTART_TIME
 
     /**
      * Whether a request that is expected to end after [time] may be started. A [stream] takes much longer than expected
@@ -61,8 +61,13 @@
 
     /** Whether callers still come to this host, and too few others serve them. */
     private val isNeeded: Boolean
-        get() = out.now - lastArrivalAt < QUIET_TIME &&
-            peers.servingCount(endsAt) < MIN_SERVING_SHARE * (peers.size + 1)
+        get() {
+            if (out.now - lastArrivalAt >= QUIET_TIME) return false
+            val serving = peers.servingAfter(endsAt)
+            // While no host is ready, the balancer sends callers to the hosts of their data centre.
+            val isReplaced = peers.readyCount > 0 || serving.any { it.dataCentre == peers.self.dataCentre }
+            return !isReplaced || serving.size < MIN_SERVING_SHARE * (peers.size + 1)
+        }
 
     private val endsAt: Duration get() = (startedAt ?: Duration.ZERO) + limit - RoutingTimes.EXIT_MARGIN
 
@@ -108,6 +113,8 @@
         /** Time until the first of several hosts that stop together is likely to be ready again. */
         val RESTART_TIME = 3_000.milliseconds
 
+        const val MOST = 0.5
+
         /** Enough hosts for the usual load, and few enough that the others can restart meanwhile. */
         const val MIN_SERVING_SHARE = 0.4
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -11,7 +11,7 @@
 internal val Incarnation.hash: Int get() = value.hashCode()
 
 /** The other hosts, discovered through the store or through their messages. */
-internal class Peers(private val self: Member, private val out: Outbox) {
+internal class Peers(val self: Member, private val out: Outbox) {
     /** State of one other host. */
     class Peer(var member: Member, var registeredAt: Duration) {
         /** Time of the latest message received from the host itself. */
@@ -113,12 +113,12 @@
         return notReceiving
     }
 
-    /** Whether most other hosts are ready; one whose messages go to coordinators only counts as ready while it is alive. */
-    val areMostReady: Boolean
-        get() = peers.values.count { isAlive(it) && it.lastMessage?.ready != false } > peers.size * HALF
+    /** Number of other hosts that are ready; one whose messages go to coordinators only counts while it is alive. */
+    val readyCount: Int get() = peers.values.count { isAlive(it) && it.lastMessage?.ready != false }
 
-    /** Number of other hosts that are ready, or that stop and accept connections until after [time]. */
-    fun servingCount(time: Duration): Int = peers.values.count { isAlive(it) && servesUntil(it) > time }
+    /** Other hosts that are ready, or that stop and accept connections until after [time]. */
+    fun servingAfter(time: Duration): List<Member> =
+        peers.values.filter { isAlive(it) && servesUntil(it) > time }.map { it.member }
 
     private fun servesUntil(peer: Peer): Duration {
         val message = peer.lastMessage
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -237,11 +237,11 @@
     }
 
     /**
-     * Whether [request], sent after [wait], is expected to end before this host must exit. While few other hosts are
-     * ready, a request that will probably end in time is better started than refused.
+     * Whether [request], sent after [wait], is expected to end before this host must exit. A request that will
+     * probably end in time is better started than refused while few other hosts are ready, or if it was refused before.
      */
     private fun canFinish(request: LiveRequest, wait: Duration = Duration.ZERO): Boolean {
-        val expected = answerTimes.expected(request, cautious = drain.canOthersServe)
+        val expected = answerTimes.expected(request, cautious = drain.canOthersServe && !request.isCallerRetry)
         return drain.canFinish(wait + expected, stream = request.route.kind == RequestKind.STREAM)
     }
 
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/DrainSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/DrainSpec.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.rules.routing
 
+import io.anvilvalve.api.id.DataCentreId
 import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.result.ResultCode
@@ -58,8 +59,8 @@
             drainMillis = drainMillis,
         )
 
-        fun RoutingFixture.hear(host: String, ready: Boolean, sequence: Long = 1, drainMillis: Int? = null) =
-            receive(member(host), gossip(member(host), sequence, ready, drainMillis))
+        fun RoutingFixture.hear(host: String, ready: Boolean, sequence: Long = 1) =
+            receive(member(host), gossip(member(host), sequence, ready))
 
         listOf(
             Late("a call is served until shortly before the limit", "/drawers/1", 0, 6.seconds, served = true),
@@ -87,7 +88,7 @@
             }
         }
 
-        test("a caller refused by a stopping host returns at once only if most other hosts are ready") {
+        test("a caller refused by a stopping host returns at once only if another host is ready") {
             val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
             host.send(RoutingEvent.DrainRequested())
             host.advance(4.seconds)
@@ -99,7 +100,7 @@
             waits.last() shouldBeGreaterThan 1_700.milliseconds
         }
 
-        class Other(val ready: Boolean, val drainMillis: Int? = null)
+        class Other(val ready: Boolean, val drainMillis: Int? = null, val dataCentre: String = "dc-1")
 
         class Leaving(val name: String, val others: List<Other>, val accepting: Boolean)
 
@@ -107,6 +108,16 @@
             Leaving("another host is ready", listOf(Other(ready = true), Other(ready = false)), accepting = false),
             Leaving("no other host is ready", List(2) { Other(ready = false) }, accepting = true),
             Leaving("the others stop later", List(2) { Other(ready = false, drainMillis = 6_000) }, accepting = false),
+            Leaving(
+                "the others stop later and are in another data centre",
+                List(2) { Other(ready = false, drainMillis = 6_000, dataCentre = "dc-2") },
+                accepting = true,
+            ),
+            Leaving(
+                "a host of another data centre is ready",
+                List(2) { Other(ready = true, dataCentre = "dc-2") },
+                accepting = false,
+            ),
             Leaving("the others stop sooner", List(2) { Other(ready = false, drainMillis = 3_000) }, accepting = true),
             Leaving("the others accept no connections", List(2) { Other(false, drainMillis = 0) }, accepting = true),
         ).forEach { case ->
@@ -115,7 +126,8 @@
                 host.send(RoutingEvent.DrainRequested())
                 host.advance(2_500.milliseconds)
                 case.others.forEachIndexed { index, other ->
-                    host.hear("h${index + 2}", other.ready, drainMillis = other.drainMillis)
+                    val from = member("h${index + 2}").copy(dataCentre = DataCentreId(other.dataCentre))
+                    host.receive(from, gossip(from, 1, other.ready, other.drainMillis))
                 }
                 host.endAttempt(host.arrive("/drawers/1").forward, AttemptResult.Complete)
                 host.advance(25.milliseconds).only<RoutingEffect.CloseConnections>().accepting shouldBe case.accepting
@@ -142,6 +154,16 @@
             frames.map { it.frame.message }.filterIsInstance<PeerMessage.Gossip>().single().ready shouldBe false
         }
 
+        test("a stream of a caller that was refused before is served although it may be cut off") {
+            val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
+            host.send(RoutingEvent.DrainRequested())
+            host.hear("h2", ready = true)
+            host.advance(1.seconds)
+            host.arrive("/sheets/1", 100, outputTokens = 150).refusal.code shouldBe ResultCode.DRAINING
+            host.hear("h2", ready = true, sequence = 2)
+            host.arrive("/sheets/1", 100, outputTokens = 150, deadline = 13.seconds).forward
+        }
+
         test("a stream that waits in a planned stop until it would be cut off is refused and not sent") {
             val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
             val running = (1..8).map { host.arrive("/sheets/$it", promptTokens = 100, outputTokens = 100).forward }
