--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
@@ -101,7 +101,6 @@
     /** Server of the latest call, at which capacity is reserved for the request. */
     var server: Backend? = null
     var prefillServer: Backend? = null
-    var placedAt = Duration.ZERO
     var sentAt = Duration.ZERO
     var startedAt: Duration? = null
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -36,7 +36,9 @@
 
     fun accept(request: LiveRequest) {
         inFlight[request.id] = request
-        if (!canFinish(request, queues.expectedWait(request))) return refuse(request, ResultCode.DRAINING)
+        if (drain.active && !canFinish(request, queues.expectedWait(request))) {
+            return refuse(request, ResultCode.DRAINING)
+        }
         retries.recordRequest(request.service.id)
         queues.add(request)
         place(request.service.id)
@@ -82,7 +84,7 @@
                 outcomes.prefilled(server, out.now - request.sentAt, processedTokens, request.promptTokens)
                 request.source = PrefillSource(server, result.handle)
                 request.sourceExpiresAt = out.now + sourceLifetime(request)
-                forward(request, request.source)
+                forwardOrRefuse(request)
             }
 
             is PrefillResult.Failed -> {
@@ -95,6 +97,9 @@
         place(request.service.id)
     }
 
+    private fun forwardOrRefuse(request: LiveRequest) =
+        if (isTooLate(request)) refuse(request, ResultCode.DRAINING) else forward(request, request.source)
+
     fun answerStarted(id: RequestId, attempt: Int) {
         val request = inFlight[id]?.takeIf { it.attempt == attempt } ?: return
         if (request.startedAt == null) request.startedAt = out.now
@@ -120,7 +125,7 @@
             AttemptResult.Complete -> {
                 request.source = null
                 outcomes.answered(server, out.now - request.sentAt, request.reservedTokens)
-                answerTimes.record(request, out.now - request.placedAt)
+                answerTimes.record(request, out.now - request.sentAt)
                 end(request, code = null)
             }
 
@@ -181,7 +186,7 @@
     /** Refuses a queued request that has waited too long, or that cannot end before this host must exit. */
     private fun endIfHopeless(request: LiveRequest) = when {
         queues.isOverdue(request) -> endUnplaced(request)
-        request.runs == 0 && !canFinish(request) -> refuse(request, ResultCode.DRAINING)
+        isUntouched(request) && !canFinish(request) -> refuse(request, ResultCode.DRAINING)
         else -> Unit
     }
 
@@ -223,8 +228,8 @@
     }
 
     private fun start(request: LiveRequest, selected: SelectedServers) {
-        if (request.runs == 0 && !canFinish(request)) return refuse(request, ResultCode.DRAINING)
-        request.placedAt = out.now
+        val prefillTime = selected.prefill?.let { placement.prefillTime(it, request.promptTokens) } ?: Duration.ZERO
+        if (isUntouched(request) && !canFinish(request, prefillTime)) return refuse(request, ResultCode.DRAINING)
         request.server = selected.server
         request.reservedTokens = if (request.service.engine == null) 0 else request.memoryTokens
         loads.add(selected.server.id, request.reservedTokens)
@@ -237,14 +242,27 @@
     }
 
     /**
-     * Whether [request], sent after [wait], is expected to end before this host must exit. A request that will
-     * probably end in time is better started than refused while few other hosts are ready, or if it was refused before.
+     * Whether [request], whose answer is requested after [wait], is expected to end before this host must exit. A request
+     * that will probably end in time is better started than refused while few other hosts are ready, or if it was
+     * refused before.
      */
     private fun canFinish(request: LiveRequest, wait: Duration = Duration.ZERO): Boolean {
+        if (!drain.active) return true
         val expected = answerTimes.expected(request, cautious = drain.canOthersServe && !request.isCallerRetry)
-        return drain.canFinish(wait + expected, stream = request.route.kind == RequestKind.STREAM)
+        return drain.canFinish(wait + expected, isStream(request))
+    }
+
+    /** Whether [request], whose prompt has been processed, can still be refused and is expected to be cut off. */
+    private fun isTooLate(request: LiveRequest): Boolean {
+        if (!drain.active || !isUntouched(request)) return false
+        return !drain.canFinish(answerTimes.expected(request, cautious = false), stream = false)
     }
 
+    private fun isStream(request: LiveRequest) = request.route.kind == RequestKind.STREAM
+
+    /** Whether no server can have executed [request]. */
+    private fun isUntouched(request: LiveRequest) = request.runs == 0 && request.startedAt == null
+
     private fun validSource(request: LiveRequest) = request.source?.takeIf { out.now < request.sourceExpiresAt }
 
     private fun startPrefill(request: LiveRequest, server: Backend, tokensAhead: Int) {
@@ -279,7 +297,7 @@
         } else {
             null
         }
-        if (server == null) forward(request, source = null) else startPrefill(request, server, loads.tokens(server.id))
+        if (server == null) forwardOrRefuse(request) else startPrefill(request, server, loads.tokens(server.id))
     }
 
     private fun forward(request: LiveRequest, source: PrefillSource?) {
@@ -407,7 +425,7 @@
 
     /** Ends a request that cannot be placed. It is refused as not executed only if no server can have executed it. */
     private fun endUnplaced(request: LiveRequest, wait: Duration? = null) {
-        if (request.runs == 0 && request.startedAt == null) {
+        if (isUntouched(request)) {
             refuse(request, ResultCode.DEADLINE_UNREACHABLE, wait)
         } else {
             fail(request, ResultCode.BACKEND_FAILED)
