Exit after two empty counts, and rank stopping hosts by what they last said

The exit needs two empty counts now, a tick apart, and a request that is read after it was decided is refused. - Hosts that stop at the same moment took each other for the one that stays, because a message is in transit for some time. Of these, the one with the higher id stays. - In a large fleet, what a host had said before it reported to coordinators only was kept as long as it was mentioned. A host closes its port if no caller came for 2 s now.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Drain.kt
@@ -15,9 +15,10 @@
  */
 internal class Drain(private val out: Outbox, private val limit: Duration, private val peers: Peers) {
     private var startedAt: Duration? = null
-    private var detectionTime = Duration.ZERO
-    private var lastArrivalAt = Duration.ZERO
+    private var announced = false
+    private var lastArrivalAt: Duration? = null
     private var accepting = true
+    private var wasEmpty = false
     private var limitPassed = false
     private var exited = false
 
@@ -30,7 +31,7 @@
     fun start(announced: Boolean) {
         if (active) return
         startedAt = out.now
-        if (announced) detectionTime = RoutingTimes.BALANCER_DETECTION_TIME
+        this.announced = announced
         out.log(
             LogEvent.DRAIN_STARTED,
             "limit_ms" to limit.inWholeMilliseconds,
@@ -56,13 +57,14 @@
      */
     fun canFinish(time: Duration, stream: Boolean): Boolean {
         val elapsed = out.now - (startedAt ?: return true)
-        return out.now + time <= endsAt && (!stream || elapsed < LAST_STREAM_DELAY)
+        return !exited && out.now + time <= endsAt && (!stream || elapsed < LAST_STREAM_DELAY)
     }
 
     /** Whether callers still come to this host, and too few others serve them. */
     private val isNeeded: Boolean
         get() {
-            if (out.now - lastArrivalAt >= QUIET_TIME) return false
+            val quiet = lastArrivalAt?.let { out.now - it >= QUIET_TIME } != false
+            if (!announced || quiet) return false
             val serving = peers.servingAfter(endsAt)
             // While no host is ready, the balancer sends callers to the hosts of their data centre.
             val isReplaced = peers.readyCount > 0 || serving.any { it.dataCentre == peers.self.dataCentre }
@@ -80,7 +82,7 @@
      */
     fun tick(inFlight: Int, onLimit: () -> Unit) {
         val elapsed = out.now - (startedAt ?: return)
-        if (exited || elapsed < detectionTime) return
+        if (exited || (announced && elapsed < RoutingTimes.BALANCER_DETECTION_TIME)) return
         if (!limitPassed && out.now >= endsAt) {
             limitPassed = true
             if (inFlight > 0) out.log(LogEvent.DRAIN_DEADLINE_PASSED, "running" to inFlight)
@@ -94,9 +96,15 @@
         }
     }
 
-    /** Exits if no connection is open and none can be opened. */
+    /**
+     * Exits if no connection is open and none can be opened. A connection that was accepted just before the port was
+     * closed is counted a moment later, so two counts must agree.
+     */
     fun connectionsCounted(event: RoutingEvent.ConnectionsCounted, inFlight: Int) {
-        if (exited || event.accepting || event.open > 0 || inFlight > 0) return
+        val isEmpty = !event.accepting && event.open == 0 && inFlight == 0
+        val wasEmptyBefore = wasEmpty
+        wasEmpty = isEmpty
+        if (exited || !isEmpty || !wasEmptyBefore) return
         out.log(LogEvent.DRAIN_FINISHED, "after_ms" to (out.now - (startedAt ?: return)).inWholeMilliseconds)
         exit()
     }
@@ -119,7 +127,7 @@
         const val MIN_SERVING_SHARE = 0.4
 
         /** The balancer sends callers to hosts that are not ready while this host receives requests at least so often. */
-        val QUIET_TIME = 1_000.milliseconds
+        val QUIET_TIME = 2_000.milliseconds
 
         /** On a busy host the first request on a new connection is read some 100 ms after the connection is opened. */
         val MIN_IDLE_TIME = 200.milliseconds
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -113,21 +113,32 @@
         return notReceiving
     }
 
-    /** Number of other hosts that are ready; one whose messages go to coordinators only counts while it is alive. */
-    val readyCount: Int get() = peers.values.count { isAlive(it) && it.lastMessage?.ready != false }
+    /** Number of other hosts that are ready. */
+    val readyCount: Int get() = peers.values.count(::isReady)
 
-    /** Other hosts that are ready, or that stop and accept connections until after [time]. */
-    fun servingAfter(time: Duration): List<Member> =
-        peers.values.filter { isAlive(it) && servesUntil(it) > time }.map { it.member }
+    /**
+     * Other hosts that are ready, or that stop and accept connections until after [time]. Of two hosts that stop at the
+     * same moment, the one with the higher id counts as the later one.
+     */
+    fun servingAfter(time: Duration): List<Member> = peers.values.filter { peer ->
+        val later = servesUntil(peer) - time
+        later > TIE_MARGIN || (later > -TIE_MARGIN && peer.member.host.value > self.host.value)
+    }.map { it.member }
 
     private fun servesUntil(peer: Peer): Duration {
-        val message = peer.lastMessage
-        return when {
-            message == null || message.ready -> Duration.INFINITE
-            else -> (peer.lastReceivedAt ?: Duration.ZERO) + (message.drainMillis ?: 0).milliseconds
+        val drainMillis = peer.lastMessage?.drainMillis ?: 0
+        return if (isReady(peer)) {
+            Duration.INFINITE
+        } else {
+            (peer.lastReceivedAt ?: Duration.ZERO) +
+                drainMillis.milliseconds
         }
     }
 
+    /** In a large fleet most hosts report to the coordinators only; for the others, they are ready while they are alive. */
+    private fun isReady(peer: Peer): Boolean =
+        if (isHeard(peer)) peer.lastMessage?.ready != false else !isSmallFleet && isAlive(peer)
+
     /** Share of all hosts from which this host recently received messages, including itself. */
     val heardShare: Double get() = (all.count(::isHeard) + 1.0) / (size + 1)
 
@@ -157,5 +168,8 @@
         /** With more hosts, messages from every host to every other take more of a small host than its requests do. */
         const val SMALL_FLEET = 12
         private const val HALF = 0.5
+
+        /** Longer than a message is in transit. */
+        private val TIE_MARGIN = 150.milliseconds
     }
 }
