Keep a connection open while another thread completes its answer

The count of threads is zero again when the thread of a request has returned, also if its answer is completed later. The handlers of today answer on the request's thread, so only the end of a stream to a slow reader was at risk; found by the review. A connection with a request is not idle now, and connections that are closed are not counted as open.

CallerConnectionSpec failed before: closeIfIdle returned true while the handler held the answer. It also covers the idle time, waits with a limit, and waits until the thread has left a half-read head.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerConnection.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerConnection.kt
@@ -25,6 +25,9 @@
     @Volatile
     private var idleSince = time.markNow()
 
+    /** Whether no thread reads or answers a request. */
+    val isUnused: Boolean get() = users.get() == 0
+
     override fun onFillable() {
         if (!enter()) return
         try {
@@ -40,7 +43,9 @@
      * closed.
      */
     fun closeIfIdle(idleTime: Duration = Duration.ZERO): Boolean {
-        if (!parser.isIdle || idleSince.elapsedNow() < idleTime || !users.compareAndSet(0, CLOSED)) return false
+        // A request is present until its answer is complete, also if another thread completes it.
+        val isIdle = parser.isIdle && httpChannel.request == null && idleSince.elapsedNow() >= idleTime
+        if (!isIdle || !users.compareAndSet(0, CLOSED)) return false
         endPoint.close()
         return true
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/Listeners.kt
@@ -111,7 +111,8 @@
 
 /** Connections that are open to a started listener. */
 internal fun Javalin.connections(): List<CallerConnection> =
-    connectors().flatMap { it.connectedEndPoints }.map { it.connection }.filterIsInstance<CallerConnection>()
+    connectors().flatMap { it.connectedEndPoints }.filter { it.isOpen }.map { it.connection }
+        .filterIsInstance<CallerConnection>()
 
 /**
  * Closes the ports of a started listener; connections that are open stay open. The result is completed when the last one
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/CallerConnectionSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/CallerConnectionSpec.kt
@@ -18,7 +18,8 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.time.TimeSource
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
 
 private const val REQUEST = "GET / HTTP/1.1\r\nHost: maps.example\r\n\r\n"
 
@@ -46,7 +47,31 @@
                     fixture.proceed.countDown()
                     socket.readStatus() shouldBe "HTTP/1.1 200 OK"
                     // The thread of the request leaves the connection after the last byte of the answer.
-                    while (!connection.closeIfIdle()) Thread.onSpinWait()
+                    await("the close of the idle connection") { connection.closeIfIdle() }
+                }
+            }
+        }
+
+        test("a connection is not closed while another thread completes its answer") {
+            Fixture(completesLater = true).use { fixture ->
+                fixture.connect { socket, connection ->
+                    socket.getOutputStream().write(REQUEST.toByteArray())
+                    fixture.reached.await()
+                    await("the end of the request's thread") { connection.isUnused }
+                    connection.closeIfIdle() shouldBe false
+                    fixture.callback?.succeeded()
+                    socket.readStatus() shouldBe "HTTP/1.1 200 OK"
+                }
+            }
+        }
+
+        test("a connection is not closed before it has been idle for the given time") {
+            Fixture().use { fixture ->
+                fixture.connect { _, connection ->
+                    fixture.time += 199.milliseconds
+                    connection.closeIfIdle(200.milliseconds) shouldBe false
+                    fixture.time += 1.milliseconds
+                    connection.closeIfIdle(200.milliseconds) shouldBe true
                 }
             }
         }
@@ -55,16 +80,20 @@
             Fixture().use { fixture ->
                 fixture.connect { socket, connection ->
                     socket.getOutputStream().write(REQUEST.dropLast(2).toByteArray())
-                    while (connection.parser.isIdle) Thread.onSpinWait()
+                    await("the end of the first read") { !connection.parser.isIdle && connection.isUnused }
                     connection.closeIfIdle() shouldBe false
                 }
             }
         }
     }) {
-    private class Fixture : AutoCloseable {
+    private class Fixture(private val completesLater: Boolean = false) : AutoCloseable {
+        val time = TestTimeSource()
         val handled = AtomicInteger()
         val reached = CountDownLatch(1)
         val proceed = CountDownLatch(1)
+
+        @Volatile
+        var callback: Callback? = null
         private val opened = LinkedBlockingQueue<CallerConnection>()
         private val server = Server()
         private val connector = ServerConnector(server, Factory()).apply { host = "127.0.0.1" }
@@ -74,7 +103,9 @@
             server.handler = object : Handler.Abstract() {
                 override fun handle(request: Request, response: Response, callback: Callback): Boolean {
                     handled.incrementAndGet()
+                    this@Fixture.callback = callback
                     reached.countDown()
+                    if (completesLater) return true
                     proceed.await()
                     callback.succeeded()
                     return true
@@ -95,7 +126,7 @@
         private inner class Factory :
             AbstractConnectionFactory("HTTP/1.1"),
             HttpConfiguration.ConnectionFactory {
-            private val factory = CallerConnectionFactory(HttpConfiguration(), TimeSource.Monotonic)
+            private val factory = CallerConnectionFactory(HttpConfiguration(), time)
 
             override fun getHttpConfiguration(): HttpConfiguration = factory.httpConfiguration
 
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/RawHttp.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/RawHttp.kt
@@ -3,8 +3,11 @@
 import java.io.ByteArrayOutputStream
 import java.net.Socket
 import java.net.SocketException
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private const val READ_TIMEOUT_MILLIS = 30_000
+private val AWAIT_TIMEOUT = 30.seconds
 
 /** Opens a connection with a read timeout, so that a missing answer fails the test instead of blocking it. */
 internal fun connect(port: Int): Socket = Socket("127.0.0.1", port).apply { soTimeout = READ_TIMEOUT_MILLIS }
@@ -46,3 +49,12 @@
     socket.getOutputStream().write(rawRequest("", body))
     return socket
 }
+
+/** Waits until another thread makes [condition] true; a hang fails the test instead of blocking the build. */
+internal fun await(what: String, condition: () -> Boolean) {
+    val start = TimeSource.Monotonic.markNow()
+    while (!condition()) {
+        check(start.elapsedNow() < AWAIT_TIMEOUT) { "timed out waiting for $what: limit $AWAIT_TIMEOUT" }
+        Thread.onSpinWait()
+    }
+}
