Do not open the callers' port after a stop during the start

A host that was stopped before it had opened its port decided to exit and then opened it; requests were still served while the process ended. The port is opened and closed under one lock, and not opened after a stop.

PlannedStopSpec failed before: the port accepted connections after the exit.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -82,9 +82,11 @@
     private val writer = StateWriter(store, events::write)
     private val reader = StateReader(store, ::announce, loop::post)
 
-    /** Null until the host accepts callers; a stop may be requested before. */
+    /** Null until the host accepts callers; a stop may be requested before. Written under [callersLock]. */
     @Volatile
     private var callers: Javalin? = null
+    private val callersLock = Any()
+    private var isPortClosed = false
     private lateinit var operations: Javalin
 
     @Volatile
@@ -109,7 +111,10 @@
     fun start() {
         peers.start(::receive) { events.write(LogEvent.PEER_REFUSED, mapOf("reason" to it)) }
         loop.start()
-        callers = routingListener(settings.callers, api, events, time).start()
+        synchronized(callersLock) {
+            // A host that is stopped during its start must not open the port after it has decided to exit.
+            if (!isPortClosed) callers = routingListener(settings.callers, api, events, time).start()
+        }
         operations =
             operationsListener(settings.operations, dialect.readinessPath, { ready && warm }, metrics, events).start()
         reader.start()
@@ -190,7 +195,7 @@
     }
 
     private fun closeConnections(effect: RoutingEffect.CloseConnections) {
-        if (!effect.accepting) callers?.stopAccepting()
+        if (!effect.accepting) closePort()
         val (closed, open) = callers?.connections().orEmpty().partition { it.closeIfIdle(effect.idleTime) }
         if (closed.isNotEmpty()) {
             val counts = mapOf("closed" to "${closed.size}", "open" to "${open.size}")
@@ -199,6 +204,11 @@
         loop.post(RoutingEvent.ConnectionsCounted(open.size, effect.accepting))
     }
 
+    private fun closePort() = synchronized(callersLock) {
+        isPortClosed = true
+        callers?.stopAccepting()
+    }
+
     private fun releaseHandle(effect: RoutingEffect.ReleaseHandle) {
         upstream.releaseHandle(effect.source.server, effect.source.handle)?.enqueue(
             object : Callback {
