Answer requests that are being read also after a drain by an operator

finishCallers was called for a drain by signal only. The name of its spec said more than the spec does, and its waits had no limit of their own.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/DaemonCommand.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/DaemonCommand.kt
@@ -42,11 +42,16 @@
         Runtime.getRuntime().addShutdownHook(Thread({ stopBySignal(host, settings) }, "stop"))
         val clean = host.exit.get()
         if (stopping.compareAndSet(false, true)) {
-            host.close()
-            Runtime.getRuntime().halt(exitCode(clean))
+            end(host, clean)
         }
     }
 
+    private fun end(host: EntryHost, clean: Boolean) {
+        host.finishCallers()
+        host.close()
+        Runtime.getRuntime().halt(exitCode(clean))
+    }
+
     private fun exitWithFaults(faults: List<SettingsFault>): Nothing {
         faults.forEach { echo("${LogEvent.SETTINGS_INVALID.code} $it", err = true) }
         throw ProgramResult(EXIT_INVALID_SETTINGS)
@@ -78,9 +83,7 @@
         } catch (_: TimeoutException) {
             false
         }
-        host.finishCallers()
-        host.close()
-        Runtime.getRuntime().halt(exitCode(clean))
+        end(host, clean)
     }
 
     private fun exitCode(clean: Boolean) = if (clean) 0 else EXIT_UNCLEAN
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/EntryHostSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/EntryHostSpec.kt
@@ -243,7 +243,7 @@
             }
         }
 
-        test("a request that is being read when the host has drained is answered before the host stops") {
+        test("a request that is being read when the host closes its port is answered before the host stops") {
             TestHost().use { test ->
                 connect(test.host.callerPort).use { socket ->
                     val body = """{"model":"m","prompt":"hi"}"""
@@ -252,8 +252,8 @@
                     val answer = socket.getInputStream().bufferedReader()
                     answer.readLine() shouldBe "HTTP/1.1 100 Continue"
                     answer.readLine() shouldBe ""
-                    val stopped = CompletableFuture.runAsync { test.host.finishCallers(30.seconds) }
-                    while (runCatching { connect(test.host.callerPort).close() }.isSuccess) Thread.onSpinWait()
+                    val stopped = CompletableFuture.runAsync { test.host.finishCallers(60.seconds) }
+                    await("the closed port") { runCatching { connect(test.host.callerPort).close() }.isFailure }
                     stopped.isDone shouldBe false
                     socket.getOutputStream().write(body.toByteArray())
                     answer.readLine() shouldBe "HTTP/1.1 200 OK"
