Free the share of the quota of a host that has stopped

Cause: the share of a silent host stays reserved for 30 s, because it may be partitioned off and admit. A host that has announced its stop and accepts no requests any more cannot.

Change: such a host is removed when it is silent, and its entry in the store does not bring it back; a message from it does.

SharedStateSpec failed before in its first case.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -28,6 +28,9 @@
 
     private val peers = LinkedHashMap<HostId, Peer>()
 
+    /** Incarnations that have announced their stop and become silent; their entries remain in the store. */
+    private val departed = LinkedHashSet<Incarnation>()
+
     val all: Collection<Peer> get() = peers.values
 
     /** Whether every host sends its state to all others. */
@@ -53,7 +56,7 @@
 
     /** Registers [member]; returns whether its incarnation was not known before. */
     fun register(member: Member): Boolean {
-        if (member.host == self.host) return false
+        if (member.host == self.host || member.incarnation in departed) return false
         val known = peers[member.host]
         if (known?.member?.incarnation == member.incarnation) return false
         peers[member.host] = Peer(member, out.now)
@@ -64,6 +67,7 @@
 
     /** Records the receipt of [message]; returns its sender, or null if a newer message was already received. */
     fun receive(message: PeerMessage.Gossip): Peer? {
+        departed -= message.member.incarnation
         register(message.member)
         val peer = peers[message.member.host] ?: return null
         if (message.sequence <= (peer.lastMessage?.sequence ?: -1)) return null
@@ -100,11 +104,16 @@
     fun isHeard(peer: Peer): Boolean = peer.lastReceivedAt?.let { out.now - it < timeout } == true
 
     /**
-     * Removes hosts that have been silent for [RoutingTimes.PEER_EXPIRY]; returns those among the hosts that satisfy
-     * [receiveMessages] that no longer receive messages from this host.
+     * Removes hosts that have been silent for [RoutingTimes.PEER_EXPIRY] or that have departed; returns those among the
+     * hosts that satisfy [receiveMessages] that no longer receive messages from this host.
      */
     fun tick(receiveMessages: (Peer) -> Boolean = { true }): List<Peer> {
-        if (peers.values.removeIf { out.now - it.lastAliveAt > RoutingTimes.PEER_EXPIRY }) updateRanks()
+        peers.values.filter(::hasDeparted).forEach { departed += it.member.incarnation }
+        while (departed.size > MAX_DEPARTED) departed.remove(departed.first())
+        val removed = peers.values.removeIf {
+            it.member.incarnation in departed || out.now - it.lastAliveAt > RoutingTimes.PEER_EXPIRY
+        }
+        if (removed) updateRanks()
         updateSilentCount()
         val notReceiving = peers.values.filter {
             out.now - it.lastAcknowledgedAt > timeout && receiveMessages(it)
@@ -155,6 +164,10 @@
     /** Whether [member] is this host, or a host that is alive. */
     fun isSelfOrAlive(member: Member): Boolean = member.host == self.host || peers[member.host]?.let(::isAlive) == true
 
+    /** Whether a host that announced its stop has ended: it is silent, and accepts no requests any more. */
+    private fun hasDeparted(peer: Peer): Boolean =
+        peer.lastMessage?.drainMillis != null && !isAlive(peer) && servesUntil(peer) < out.now
+
     private fun updateRanks() {
         ranked = (peers.values.map { it.member } + self)
             .sortedWith(compareByDescending<Member> { it.capacity }.thenBy { it.host.value })
@@ -168,6 +181,7 @@
         /** With more hosts, messages from every host to every other take more of a small host than its requests do. */
         const val SMALL_FLEET = 12
         private const val HALF = 0.5
+        private const val MAX_DEPARTED = 256
 
         /** Longer than a message is in transit. */
         private val TIE_MARGIN = 150.milliseconds
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/SharedStateSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/SharedStateSpec.kt
@@ -9,6 +9,7 @@
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.api.routing.RecordedUsage
 import io.anvilvalve.api.routing.StateTopic
+import io.anvilvalve.api.routing.StoredEntry
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.booleans.shouldBeTrue
@@ -118,6 +119,48 @@
             cutOff shouldBeLessThanOrEqualTo alone / 4
         }
 
+        /** Tokens that a host admits in a quota window after [prepare]. */
+        fun admittedAfter(prepare: RoutingFixture.() -> Unit): Int {
+            val host = RoutingFixture(
+                configuration = configuration(1, 10_000.0, 40_000.0),
+                backends = listOf(plain("p", slots = 100_000)),
+            )
+            host.advance(10.seconds)
+            host.prepare()
+            return (1..500).count { host.arrive("/drawers/$it", 1_000).effects.any { e -> e is RoutingEffect.Forward } }
+        }
+
+        fun RoutingFixture.readHosts() =
+            read(StateTopic.HOSTS, listOf(StoredEntry("h2", 0, BinaryCodec.encode(Member.serializer(), peer))))
+
+        test("the quota of a host that has stopped is not kept for it, although its entry is still in the store") {
+            class Departure(
+                val name: String,
+                val drainMillis: Int?,
+                val isGone: Boolean,
+                val wasHeardAgain: Boolean = false,
+            )
+            val alone = admittedAfter { }
+            listOf(
+                Departure("it has announced its stop", drainMillis = 0, isGone = true),
+                Departure("it has time left", drainMillis = 6_000, isGone = false),
+                Departure("it is silent for an unknown reason", drainMillis = null, isGone = false),
+                Departure("it was heard again", drainMillis = 0, isGone = false, wasHeardAgain = true),
+            ).forEach { case ->
+                withClue(case.name) {
+                    val admitted = admittedAfter {
+                        val message = gossip(peer, 1).copy(ready = false, drainMillis = case.drainMillis)
+                        receive(peer, message)
+                        advance(3.seconds)
+                        if (case.wasHeardAgain) receive(peer, message.copy(sequence = 2, drainMillis = null))
+                        readHosts()
+                        advance(3.seconds)
+                    }
+                    if (case.isGone) admitted shouldBe alone else admitted shouldBeLessThanOrEqualTo alone / 2
+                }
+            }
+        }
+
         test("retries stay within the budget") {
             val host = RoutingFixture(backends = (1..50).map { plain("p$it", slots = 1_000) })
             var retries = 0
