Read the id of an event from its id field, not from its text

A resumable stream that breaks off goes on behind the last event that the caller has received. The id of that event was searched as the last "id:" in the text of the events. Data that contains "id:" hid the id, so callers of a resumed stream received events a second time. An event without an id kept the id of an earlier one, and a CR alone did not end a line.

EventFrames now reads each line once, in the three forms of line ends, and takes the id of the last whole event. An id that a header cannot carry is no id.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/EventFrames.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/EventFrames.kt
@@ -7,7 +7,23 @@
 
 /** Splits a stream of server-sent events into whole events, so that a broken stream relays no partial event. */
 internal class EventFrames(private val source: BufferedSource) {
-    /** Id of the last whole event that had one. */
+    private val buffer = source.buffer
+
+    /** Offset in the buffer of the first line that has not ended. */
+    private var lineStart = 0L
+
+    /** Offset in the buffer before which all ends of lines have been found. */
+    private var searched = 0L
+
+    /** Whether the byte before [lineStart] is a CR, which a LF may still follow. */
+    private var afterCarriageReturn = false
+
+    /** Whether a field has been read since the last empty line. */
+    private var insideEvent = false
+
+    private var eventId: String? = null
+
+    /** Id of the last whole event; null if it has none that a header can carry. */
     var lastId: String? = null
         private set
 
@@ -18,41 +34,80 @@
     /**
      * Returns the next bytes to relay: whole events, or at the end of the stream the remaining bytes; null after it.
      *
-     * @throws IOException when the stream breaks or an event has more than [MAX_EVENT_BYTES] bytes.
+     * @throws IOException when the stream breaks or has an event of over [MAX_EVENT_BYTES] bytes.
      */
     fun next(): ByteArray? {
         while (true) {
-            val end = source.buffer.lastEventEnd()
-            if (end > 0) return source.buffer.readByteArray(end).also(::updateLastId)
-            val before = source.buffer.size
+            val end = lastEventEnd()
+            if (end > 0) return take(end)
+            val before = buffer.size
             if (before > MAX_EVENT_BYTES) throw IOException("an event exceeds $MAX_EVENT_BYTES bytes")
-            if (!source.request(before + 1)) return if (before == 0L) null else source.readByteArray()
+            if (!source.request(before + 1)) {
+                return if (before == 0L) null else take(before)
+            }
         }
     }
 
-    private fun Buffer.lastEventEnd(): Long {
-        var end = 0L
+    /** Reads the lines that have arrived; returns the end of the last empty one, or 0. */
+    private fun lastEventEnd(): Long {
+        var eventEnd = 0L
+        skipLineFeed()
         while (true) {
-            end = nextEventEnd(end) ?: return end
-            count++
+            val lineEnd = buffer.indexOfElement(lineEnds, maxOf(lineStart, searched))
+            if (lineEnd < 0) break
+            val isEmpty = lineEnd == lineStart
+            if (!isEmpty) readLine(lineStart, lineEnd)
+            lineStart = lineEnd + 1
+            afterCarriageReturn = buffer[lineEnd] == CARRIAGE_RETURN
+            skipLineFeed()
+            if (isEmpty) {
+                endEvent()
+                eventEnd = lineStart
+            }
         }
+        searched = buffer.size
+        return eventEnd
     }
 
-    /** An empty line ends an event; lines end with LF or CR LF. */
-    private fun Buffer.nextEventEnd(from: Long): Long? =
-        eventEnds.mapNotNull { end -> indexOf(end, from).takeIf { it >= 0 }?.let { it + end.size } }.minOrNull()
+    /** Skips the LF of a CR LF as soon as it has arrived; a CR alone also ends a line. */
+    private fun skipLineFeed() {
+        if (!afterCarriageReturn || lineStart == buffer.size) return
+        if (buffer[lineStart] == LINE_FEED) lineStart++
+        afterCarriageReturn = false
+    }
+
+    private fun readLine(start: Long, end: Long) {
+        if (buffer[start] == COMMENT) return
+        insideEvent = true
+        if (!buffer.rangeEquals(start, idField)) return
+        val value = Buffer().also { buffer.copyTo(it, start + idField.size, end - start - idField.size) }.readUtf8()
+        eventId =
+            value.removePrefix(" ").takeIf { id -> id.isNotEmpty() && id == id.trim() && id.all { it in ' '..'~' } }
+    }
+
+    private fun endEvent() {
+        if (insideEvent) {
+            count++
+            lastId = eventId
+        }
+        insideEvent = false
+        eventId = null
+    }
 
-    private fun updateLastId(events: ByteArray) {
-        val text = events.decodeToString()
-        val at = text.lastIndexOf(ID_FIELD).takeIf { it == 0 || (it > 0 && text[it - 1] == '\n') } ?: return
-        lastId = text.substring(at + ID_FIELD.length, text.indexOf('\n', at)).trim()
+    private fun take(bytes: Long): ByteArray {
+        lineStart -= bytes
+        searched -= bytes
+        return buffer.readByteArray(bytes)
     }
 
     companion object {
         /** An event carries some tokens of an answer; a server in trouble may send bytes without an end of the event. */
         const val MAX_EVENT_BYTES = 256L * 1024
 
-        private val eventEnds = listOf("\n\n".encodeUtf8(), "\n\r\n".encodeUtf8())
-        private const val ID_FIELD = "id:"
+        private const val CARRIAGE_RETURN = '\r'.code.toByte()
+        private const val LINE_FEED = '\n'.code.toByte()
+        private const val COMMENT = ':'.code.toByte()
+        private val lineEnds = "\r\n".encodeUtf8()
+        private val idField = "id:".encodeUtf8()
     }
 }
