Treat a stream that ends inside an event as broken off

A worker's stream may have neither a length nor chunks and end with its connection. Callers of such a stream whose worker crashed inside an event received the bytes of the partial event and then the proper end of the answer, so that the answer looked complete; a resumable stream was not resumed. The same happened to a stream in chunks whose last event lacked its empty line.

Cause: the exchange took every end of the body for the end of the stream, and the remaining bytes were relayed. A clean close of the connection ends a body without a length, so the HTTP client reports no failure.

EventFrames now relays whole events, and at the end only comments and empty lines. Other remaining bytes are a failed attempt: a resumable stream goes on elsewhere behind its last whole event, and the connection of any other caller is closed without the end of the answer.

The case "an incomplete last event" of EventFramesSpec expected that the remaining bytes are relayed, which contradicts the rule; ten cases of broken streams replace it.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/EventFrames.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/EventFrames.kt
@@ -3,6 +3,7 @@
 import okio.Buffer
 import okio.BufferedSource
 import okio.ByteString.Companion.encodeUtf8
+import java.io.EOFException
 import java.io.IOException
 
 /** Splits a stream of server-sent events into whole events, so that a broken stream relays no partial event. */
@@ -32,9 +33,9 @@
         private set
 
     /**
-     * Returns the next bytes to relay: whole events, or at the end of the stream the remaining bytes; null after it.
+     * Returns the next bytes to relay: whole events, or at the end of the stream comments and empty lines; null after it.
      *
-     * @throws IOException when the stream breaks or has an event of over [MAX_EVENT_BYTES] bytes.
+     * @throws IOException when the stream breaks, ends inside an event or has an event of over [MAX_EVENT_BYTES] bytes.
      */
     fun next(): ByteArray? {
         while (true) {
@@ -43,6 +44,7 @@
             val before = buffer.size
             if (before > MAX_EVENT_BYTES) throw IOException("an event exceeds $MAX_EVENT_BYTES bytes")
             if (!source.request(before + 1)) {
+                if (endsInsideEvent()) throw EOFException("the stream ended inside an event")
                 return if (before == 0L) null else take(before)
             }
         }
@@ -94,8 +96,10 @@
         eventId = null
     }
 
+    private fun endsInsideEvent() = insideEvent || (lineStart < buffer.size && buffer[lineStart] != COMMENT)
+
     private fun take(bytes: Long): ByteArray {
-        lineStart -= bytes
+        lineStart = maxOf(lineStart - bytes, 0)
         searched -= bytes
         return buffer.readByteArray(bytes)
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/UpstreamClient.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/UpstreamClient.kt
@@ -13,8 +13,8 @@
  * Calls backend servers, each call on its own connection, so that late bytes of one answer cannot get into another.
  *
  * For requests of callers this side closes the connection and does not send `Connection: close`. A server that receives
- * this header may end an answer of unknown length by closing the connection, and then a crash looks like the end of
- * the answer.
+ * this header may end an answer of unknown length with its connection where it would have sent chunks. A crash between
+ * two events then looks like the end of the answer.
  */
 internal class UpstreamClient(private val client: OkHttpClient, private val dialect: RoutingDialect) {
     /** A call that is ready to be executed once. */
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/EventFramesSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/EventFramesSpec.kt
@@ -70,7 +70,10 @@
                 listOf("id: 1\r\n\r", "\nid: 2\r\n\r", "\n"),
                 "2",
             ),
-            Case("an incomplete last event", listOf("id: 1\n\n", "id: 2\nda"), listOf("id: 1\n\n", "id: 2\nda"), "1"),
+            Case("a comment without an empty line", listOf("id: 1\n\n", ": end"), listOf("id: 1\n\n", ": end"), "1"),
+            Case("a comment line at the end", listOf("id: 1\n\n", ": end\n"), listOf("id: 1\n\n", ": end\n"), "1"),
+            Case("a further line end at the end", listOf("id: 1\n\n\n"), listOf("id: 1\n\n\n"), "1"),
+            Case("a LF at the end that belongs to a CR", listOf("id: 1\r\n\r", "\n"), listOf("id: 1\r\n\r", "\n"), "1"),
             Case("nothing", emptyList(), emptyList(), null),
         ).forEach { case ->
             test("relays ${case.name}") {
@@ -99,11 +102,27 @@
             endless.sent shouldBeLessThanOrEqual EventFrames.MAX_EVENT_BYTES + 2 * PIECE_BYTES
         }
 
-        test("relays only the whole events of a broken stream") {
-            val frames = EventFrames(source(listOf("id: 1\n\nid: 2\nda"), breaks = true).buffer())
-            frames.next()?.decodeToString() shouldBe "id: 1\n\n"
-            shouldThrow<IOException> { frames.next() }
-            frames.lastId shouldBe "1"
+        class Broken(val name: String, val rest: String, val breaks: Boolean = false)
+
+        listOf(
+            Broken("breaks inside an event", "id: 2\nda", breaks = true),
+            Broken("breaks after an event", "", breaks = true),
+            Broken("ends inside a line", "id: 2\nda"),
+            Broken("ends with a line of an event", "id: 2\ndata: b\n"),
+            Broken("ends without the end of the last line", "id: 2\ndata: b"),
+            Broken("ends after the first byte of an event", "i"),
+            Broken("ends inside an event with CR LF", "id: 2\r\ndata: b\r\n"),
+            Broken("ends inside an event with CR", "id: 2\rdata: b\r"),
+            Broken("ends inside an event with a comment", "data: b\n: ping"),
+            Broken("ends inside an event after a comment", ": ping\ndata: b"),
+        ).forEach { case ->
+            test("relays only the whole events of a stream that ${case.name}, and reports it as broken") {
+                val frames = EventFrames(source(listOf("id: 1\n\n${case.rest}"), case.breaks).buffer())
+                frames.next()?.decodeToString() shouldBe "id: 1\n\n"
+                shouldThrow<IOException> { frames.next() }
+                frames.lastId shouldBe "1"
+                frames.count shouldBe 1
+            }
         }
 
         test("relays the same bytes and counts the same events for any split into reads") {
