Send streams in chunks also on connections that are closed afterwards

A caller whose stream was broken off saw a complete answer if the host was draining, if it had sent "Connection: close" itself, or if it speaks HTTP/1.0.

Cause: the HTTP server frames an answer of unknown length by the end of its connection when that connection is not kept. A host that drains answers with "Connection: close", so its streams had no chunks, and closing the connection without a last chunk was the proper end of the answer.

Streams now ask for chunks in their head, which the server sends on any connection of HTTP/1.1. HTTP/1.0 has no chunks, so its connection is reset when an answer is broken off.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/CallerWatch.kt
@@ -5,6 +5,8 @@
 import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.util.BufferUtil
 import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.channels.SocketChannel
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
@@ -37,7 +39,9 @@
      */
     fun watch(request: HttpServletRequest, deadline: ComparableTimeMark, onGone: () -> Unit): ConnectionWatch {
         val connection = ServletContextRequest.getServletContextRequest(request).connectionMetaData.connection
-        return ConnectionWatch(connection.endPoint, deadline, onGone).also {
+        // HTTP/1.0 has no chunks: a stream ends with its connection.
+        val isHttp10 = request.protocol == "HTTP/1.0"
+        return ConnectionWatch(connection.endPoint, deadline, resetOnAbort = isHttp10, onGone).also {
             open += it
             schedule()
         }
@@ -70,6 +74,7 @@
     inner class ConnectionWatch(
         private val endPoint: EndPoint,
         private val deadline: ComparableTimeMark,
+        private val resetOnAbort: Boolean,
         private val onGone: () -> Unit,
     ) : AutoCloseable {
         private val buffer = BufferUtil.allocate(BUFFER_BYTES)
@@ -108,6 +113,7 @@
         /** Closes the connection, so that the caller cannot take a partial answer for a complete one. */
         fun abort() {
             close()
+            if (resetOnAbort) (endPoint.transport as? SocketChannel)?.setOption(StandardSocketOptions.SO_LINGER, 0)
             endPoint.close()
         }
 
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedAnswer.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedAnswer.kt
@@ -22,6 +22,8 @@
     fun sendHead(status: Int, head: Headers) {
         started = true
         setHead(status, head)
+        // Without it, the HTTP server ends a stream on a connection that it closes only with this connection.
+        response.setHeader("Transfer-Encoding", "chunked")
     }
 
     /** Sends the next part of a streamed answer. */
