Report the progress of a resumed stream with the events before it

Each attempt counted its own events from 0, but the last reported number was kept over attempts. After a resume nothing was reported until the new attempt had passed the old number, and then too little, so that an engine seemed to have more free memory than it had.

The exchange now counts the events of all attempts.

RoutedExchangeSpec, which runs an exchange against scripted answers without a network, failed before in "the progress of a resumed stream is reported with the events before it": expected [(1, 8), (2, 16), (2, 24)] but was [(1, 8), (2, 16)].

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -36,6 +36,9 @@
 
     private var failure: BufferedAnswer? = null
     private var resumeAfter: String? = null
+
+    /** Events that all attempts have relayed. */
+    private var relayedEvents = 0
     private var reportedEvents = 0
 
     /** Queues [effect] for the request's thread, or cancels an abandoned attempt; called by the event loop's thread. */
@@ -154,6 +157,7 @@
 
     private fun relayStream(effect: RoutingEffect.Forward, response: Response): AttemptResult {
         val frames = EventFrames(response.body.source())
+        val earlierEvents = relayedEvents
         while (true) {
             val bytes = frames.next() ?: break
             if (!answer.started) {
@@ -161,7 +165,8 @@
                 writeToCaller { answer.sendHead(response.code, dialect.relayed(response.headers)) }
             }
             writeToCaller { answer.write(bytes) }
-            reportProgress(effect.attempt, frames.count)
+            relayedEvents = earlierEvents + frames.count
+            reportProgress(effect.attempt)
             frames.lastId?.let { resumeAfter = it }
         }
         if (!answer.started) {
@@ -172,10 +177,10 @@
         return AttemptResult.Complete
     }
 
-    private fun reportProgress(attempt: Int, events: Int) {
-        if (events - reportedEvents < EVENTS_PER_REPORT) return
-        reportedEvents = events
-        post(RoutingEvent.AnswerProgressed(id, attempt, events))
+    private fun reportProgress(attempt: Int) {
+        if (relayedEvents - reportedEvents < EVENTS_PER_REPORT) return
+        reportedEvents = relayedEvents
+        post(RoutingEvent.AnswerProgressed(id, attempt, relayedEvents))
     }
 
     /** Runs [write] and treats its failure as a disconnect of the caller. */
--- /dev/null
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
@@ -0,0 +1,169 @@
+package io.anvilvalve.host.routing
+
+import arrow.core.Either
+import arrow.core.right
+import io.anvilvalve.api.id.BackendServerId
+import io.anvilvalve.api.id.DataCentreId
+import io.anvilvalve.api.id.RequestId
+import io.anvilvalve.api.result.ResultCode
+import io.anvilvalve.api.routing.Backend
+import io.anvilvalve.api.routing.ServiceId
+import io.anvilvalve.host.CallerWatch
+import io.anvilvalve.rules.routing.AttemptResult
+import io.anvilvalve.rules.routing.CallTerms
+import io.anvilvalve.rules.routing.InboundRequest
+import io.anvilvalve.rules.routing.RoutingEffect
+import io.anvilvalve.rules.routing.RoutingEvent
+import io.javalin.http.Context
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import okhttp3.Headers
+import okhttp3.Headers.Companion.headersOf
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
+import okhttp3.Response
+import okhttp3.ResponseBody.Companion.asResponseBody
+import okio.Buffer
+import okio.ForwardingSource
+import okio.buffer
+import java.io.IOException
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val id = RequestId("r")
+
+/** Dialect without headers of a platform; an answer is always the backend server's own. */
+private class PlainDialect : RoutingDialect {
+    override val reportPath = "/report"
+    override val orderPath = "/order"
+    override val readinessPath = "/ready"
+
+    override fun inbound(id: RequestId, path: String, head: Headers) =
+        InboundRequest(id, "h", path, key = null, deadline = null, promptTokens = null).right()
+
+    override fun outbound(head: Headers, call: OutboundCall) =
+        if (call.resumeAfter == null) headersOf() else headersOf("Last-Event-Id", call.resumeAfter)
+
+    override fun answer(status: Int, head: Headers) = AnswerFacts(null, notExecuted = false, signed = true)
+
+    override fun relayed(head: Headers) = head
+
+    override fun attemptId(head: Headers): String? = null
+
+    override fun prefillHandle(body: ByteArray): Either<String, String> = body.decodeToString().right()
+
+    override fun orderCount(report: ByteArray): Either<String, Long> = 0L.right()
+
+    override fun stageOrder(order: StageOrder) = ByteArray(0)
+
+    override fun instanceHead(instance: String) = headersOf()
+
+    override fun handlePath(handle: String) = "/$handle"
+}
+
+/**
+ * Answer of a backend server that arrives in [pieces].
+ *
+ * @property failure thrown after the last piece; null if the answer ends.
+ * @property length length in its head; -1 if the answer ends with its connection.
+ */
+private class SentAnswer(
+    val pieces: List<String>,
+    val failure: Exception? = null,
+    val type: String = "text/event-stream",
+    val length: Long = pieces.sumOf { it.length.toLong() },
+)
+
+/** An exchange whose attempts get [answers] in turn; after the last one the request fails. */
+private class Exchange(private val answers: List<SentAnswer>) {
+    val events = CopyOnWriteArrayList<RoutingEvent>()
+
+    /** `Last-Event-Id` of each attempt. */
+    val resumedAfter = CopyOnWriteArrayList<String?>()
+
+    private val server =
+        Backend(BackendServerId("b"), ServiceId("s"), "127.0.0.1:1", DataCentreId("dc"), slots = 1)
+    private val client = OkHttpClient.Builder().addInterceptor { chain ->
+        val answer = answers[resumedAfter.size]
+        resumedAfter += chain.request().header("Last-Event-Id")
+        Response.Builder()
+            .request(chain.request())
+            .protocol(Protocol.HTTP_1_1)
+            .code(200)
+            .message("OK")
+            .header("Content-Type", answer.type)
+            .body(source(answer).buffer().asResponseBody(answer.type.toMediaType(), answer.length))
+            .build()
+    }.build()
+
+    val results: List<AttemptResult> get() = events.filterIsInstance<RoutingEvent.AttemptEnded>().map { it.result }
+
+    val progress: List<Pair<Int, Int>>
+        get() = events.filterIsInstance<RoutingEvent.AnswerProgressed>().map { it.attempt to it.events }
+
+    /** Runs the exchange for one caller and returns what the caller received. */
+    fun run(): ReceivedAnswer = CallerWatch().use { watches ->
+        serve({ run(it, watches) }) { ReceivedAnswer.of(it, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }
+    }
+
+    private fun run(ctx: Context, watches: CallerWatch) {
+        val watch = watches.watch(ctx.req(), TimeSource.Monotonic.markNow() + 1.days) { }
+        val received = ReceivedRequest("GET", "/", headersOf(), ByteArray(0), attemptId = null)
+        val dialect = PlainDialect()
+        lateinit var exchange: RoutedExchange
+        val post = { event: RoutingEvent ->
+            events += event
+            next(event)?.let { exchange.perform(it) }
+            Unit
+        }
+        val answer = RoutedAnswer(ctx.res()) { false }
+        exchange = RoutedExchange(id, received, answer, watch, UpstreamClient(client, dialect), dialect, post)
+        exchange.run(InboundRequest(id, "h", "/", key = null, deadline = null, promptTokens = null))
+    }
+
+    private fun next(event: RoutingEvent): RoutingEffect.OnRequest? = when {
+        event is RoutingEvent.Arrived -> forward()
+        event !is RoutingEvent.AttemptEnded || event.result == AttemptResult.Complete -> null
+        resumedAfter.size < answers.size -> forward()
+        else -> RoutingEffect.Fail(id, ResultCode.BACKEND_FAILED)
+    }
+
+    private fun forward() =
+        RoutingEffect.Forward(id, resumedAfter.size + 1, server, CallTerms(1.seconds, organisation = null, urgency = 5))
+
+    private fun source(answer: SentAnswer) = object : ForwardingSource(Buffer()) {
+        private val left = ArrayDeque(answer.pieces)
+
+        override fun read(sink: Buffer, byteCount: Long): Long {
+            val piece = left.removeFirstOrNull()
+            if (piece == null) return answer.failure?.let { throw it } ?: -1
+            sink.writeUtf8(piece)
+            return piece.length.toLong()
+        }
+    }
+}
+
+/** Guards against an answer that looks complete although an attempt failed, and against events that come twice. */
+class RoutedExchangeSpec :
+    FunSpec({
+        val reset = IOException("reset")
+
+        fun events(numbers: IntRange) = numbers.map { "id: $it\ndata: $it\n\n" }
+
+        test("a resumed stream goes on behind the last whole event") {
+            val exchange =
+                Exchange(listOf(SentAnswer(events(1..2) + "id: 3\nda", reset), SentAnswer(events(3..4))))
+            exchange.run().completeBody() shouldBe events(1..4).joinToString("")
+            exchange.resumedAfter shouldContainExactly listOf(null, "2")
+        }
+
+        test("the progress of a resumed stream is reported with the events before it") {
+            val exchange = Exchange(listOf(SentAnswer(events(1..10), reset), SentAnswer(events(11..28))))
+            exchange.run()
+            exchange.progress shouldContainExactly listOf(1 to 8, 2 to 16, 2 to 24)
+        }
+    })
