Resume a stream only if its last relayed event has an id

A resumable stream whose events carry no id, or whose last event carries none, was sent again from its start or from an earlier event when its engine broke off, so its caller received events twice.

Cause: the exchange kept the newest id that it had seen and resumed without an id where there was none; nothing tied the id to the last relayed event.

The exchange now keeps the id of the last relayed event only, and a failed attempt states whether another one can go on behind it.

RoutedExchangeSpec failed before in "a stream without ids is not resumed, because events would come twice": "Expected null but actual was data: a". RequestsSpec covers the rule.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -35,6 +35,8 @@
     private var abandonedAttempt = 0
 
     private var failure: BufferedAnswer? = null
+
+    /** Id of the last relayed event; null if there is none or it has no id. */
     private var resumeAfter: String? = null
 
     /** Events that all attempts have relayed. */
@@ -118,7 +120,7 @@
             call<AttemptResult>(effect.attempt, upstream.prepare(received, effect.server, outbound)) { response ->
                 handleResponse(effect, response).also { ended = it == AttemptResult.Complete }
             }
-        val result = outcome.orFailed { it }
+        val result = outcome.orFailed { it.copy(resumable = relayedEvents == 0 || resumeAfter != null) }
         post(RoutingEvent.AttemptEnded(id, effect.attempt, result))
         return ended
     }
@@ -167,7 +169,7 @@
             writeToCaller { answer.write(bytes) }
             relayedEvents = earlierEvents + frames.count
             reportProgress(effect.attempt)
-            frames.lastId?.let { resumeAfter = it }
+            if (frames.count > 0) resumeAfter = frames.lastId
         }
         if (!answer.started) {
             post(RoutingEvent.AnswerStarted(id, effect.attempt))
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
@@ -128,6 +128,7 @@
     private fun next(event: RoutingEvent): RoutingEffect.OnRequest? = when {
         event is RoutingEvent.Arrived -> forward()
         event !is RoutingEvent.AttemptEnded || event.result == AttemptResult.Complete -> null
+        (event.result as? AttemptResult.Failed)?.resumable == false -> RoutingEffect.Fail(id, ResultCode.STREAM_BROKEN)
         resumedAfter.size < answers.size -> forward()
         else -> RoutingEffect.Fail(id, ResultCode.BACKEND_FAILED)
     }
@@ -166,4 +167,22 @@
             exchange.run()
             exchange.progress shouldContainExactly listOf(1 to 8, 2 to 16, 2 to 24)
         }
+
+        class NoId(val name: String, val pieces: List<String>)
+
+        listOf(
+            NoId("without ids", listOf("data: a\n\n", "data: b\n\n")),
+            NoId("whose last event has no id", listOf("id: 1\ndata: a\n\n", "data: b\n\n")),
+        ).forEach { case ->
+            test("a stream ${case.name} is not resumed, because events would come twice") {
+                val exchange = Exchange(listOf(SentAnswer(case.pieces, reset), SentAnswer(case.pieces)))
+                exchange.run().completeBody() shouldBe null
+                exchange.resumedAfter shouldContainExactly listOf(null)
+            }
+        }
+
+        test("a stream that breaks before its first event is started again") {
+            val exchange = Exchange(listOf(SentAnswer(listOf(": ping\n\n"), reset), SentAnswer(listOf("data: a\n\n"))))
+            exchange.run().completeBody() shouldBe ": ping\n\ndata: a\n\n"
+        }
     })
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/AttemptResult.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/AttemptResult.kt
@@ -18,6 +18,12 @@
      *
      * @property executed whether the backend server may have executed the request.
      * @property unreachable whether the connection could not be opened.
+     * @property resumable whether another attempt can go on where this one ended; false after events without an id.
      */
-    data class Failed(val reason: String, val executed: Executed, val unreachable: Boolean = false) : AttemptResult
+    data class Failed(
+        val reason: String,
+        val executed: Executed,
+        val unreachable: Boolean = false,
+        val resumable: Boolean = true,
+    ) : AttemptResult
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -299,7 +299,7 @@
         }
         request.runs++
         request.source = null
-        if (!tryRepeat(request)) {
+        if (!result.resumable || !tryRepeat(request)) {
             fail(request, if (request.startedAt == null) ResultCode.BACKEND_FAILED else ResultCode.STREAM_BROKEN)
         }
     }
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RequestsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RequestsSpec.kt
@@ -173,15 +173,20 @@
             effects.only<RoutingEffect.Prefill>().server.id shouldNotBe first.server.id
         }
 
-        test("a broken stream is resumed at another engine only if its route allows it") {
-            val engines = listOf(engine("e1", Stage.DECODE), engine("e2", Stage.DECODE))
-            listOf("/sheets/1" to false, "/deeds/1" to true).forEach { (path, resumes) ->
-                val host = RoutingFixture(backends = engines)
-                val forward = host.arrive(path, promptTokens = 100, outputTokens = 100).forward
+        class Resume(val name: String, val path: String, val result: AttemptResult.Failed, val resumes: Boolean)
+
+        listOf(
+            Resume("a stream of another route", "/sheets/1", answerLost, resumes = false),
+            Resume("a stream of a resumable route", "/deeds/1", answerLost, resumes = true),
+            Resume("a stream without ids", "/deeds/1", answerLost.copy(resumable = false), resumes = false),
+        ).forEach { case ->
+            test("${case.name} that breaks off is ${if (case.resumes) "" else "not "}resumed at another engine") {
+                val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE), engine("e2", Stage.DECODE)))
+                val forward = host.arrive(case.path, promptTokens = 100, outputTokens = 100).forward
                 host.send(RoutingEvent.AnswerStarted(forward.id, forward.attempt))
-                val effects = host.endAttempt(forward, answerLost)
-                effects.none<RoutingEffect.Forward>() shouldBe !resumes
-                effects.none<RoutingEffect.Fail>() shouldBe resumes
+                val effects = host.endAttempt(forward, case.result)
+                effects.none<RoutingEffect.Forward>() shouldBe !case.resumes
+                effects.none<RoutingEffect.Fail>() shouldBe case.resumes
             }
         }
 
