Break a stream off when its exchange fails after the head was sent

Callers of a resumable stream saw a complete answer after its first part if the engine that was to go on answered with something else than a stream, or if an answer could not be read for a reason other than an I/O error.

Cause: the exchange ended with an exception, and the HTTP server ended the chunks of an answer whose handler had returned. For an answer of another type, the exchange tried to write a second head.

An exchange that ends with an exception now closes the connection of a started answer. A resumed stream that is answered with another type is a failed attempt.

RoutedExchangeSpec failed before in "a stream that is resumed with an answer that is no stream is broken off" and in "a stream that cannot be read is broken off": "Expected null but actual was id: 1".

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -55,8 +55,15 @@
 
     /** Handles the request [arrived]; returns when the answer has ended. */
     fun run(arrived: InboundRequest) {
-        post(RoutingEvent.Arrived(arrived))
-        while (runEffect(pendingEffects.take())) Unit
+        var ended = false
+        try {
+            post(RoutingEvent.Arrived(arrived))
+            while (runEffect(pendingEffects.take())) Unit
+            ended = true
+        } finally {
+            // After an exception, the HTTP server would end a partial answer as if it were complete.
+            if (!ended && answer.started) watch.abort()
+        }
     }
 
     /** Returns whether the exchange goes on after [effect]. */
@@ -134,6 +141,7 @@
             !response.isSuccessful -> keepFailure(response)
             !facts.signed -> AttemptResult.Failed("the answer is not signed by the backend server", Executed.UNKNOWN)
             response.body.contentType()?.subtype == EVENT_STREAM -> relayStream(effect, response)
+            answer.started -> AttemptResult.Failed("a stream was resumed with another type of answer", Executed.UNKNOWN)
             else -> relayWhole(effect, response)
         }
     }
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
@@ -185,4 +185,15 @@
             val exchange = Exchange(listOf(SentAnswer(listOf(": ping\n\n"), reset), SentAnswer(listOf("data: a\n\n"))))
             exchange.run().completeBody() shouldBe ": ping\n\ndata: a\n\n"
         }
+
+        class Early(val name: String, val second: SentAnswer)
+
+        listOf(
+            Early("is resumed with an answer that is no stream", SentAnswer(listOf("whole"), type = "text/plain")),
+            Early("cannot be read", SentAnswer(emptyList(), IllegalArgumentException("byteCount < 0"))),
+        ).forEach { case ->
+            test("a stream that ${case.name} is broken off") {
+                Exchange(listOf(SentAnswer(events(1..2), reset), case.second)).run().completeBody() shouldBe null
+            }
+        }
     })
