Treat a stream without a length that ends before its first event as failed

An engine that crashes right after the head of a stream without a length and chunks closes the connection as if the stream had ended. Its caller received a complete, empty answer; a resumed stream ended as complete where it had broken off.

A stream that ends with its connection is now complete only after an event. Before its first event the attempt has failed, so that a resumable stream is sent elsewhere and other callers get 502. An empty stream with a length or with chunks stays complete.

RoutedExchangeSpec failed before in "a stream without a length and an event is broken off" and in the case of a comment: expected:<false> but was:<true>.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.host.CallerWatch
 import io.anvilvalve.net.bytesAtMost
+import io.anvilvalve.net.endsWithConnection
 import io.anvilvalve.rules.routing.AttemptResult
 import io.anvilvalve.rules.routing.InboundRequest
 import io.anvilvalve.rules.routing.PrefillResult
@@ -179,6 +180,10 @@
             reportProgress(effect.attempt)
             if (frames.count > 0) resumeAfter = frames.lastId
         }
+        // A server that crashes after its head closes the connection as if the stream had ended.
+        if (frames.count == 0 && response.endsWithConnection) {
+            return AttemptResult.Failed("the stream ended before its first event", Executed.UNKNOWN)
+        }
         if (!answer.started) {
             post(RoutingEvent.AnswerStarted(id, effect.attempt))
             writeToCaller { answer.sendHead(response.code, dialect.relayed(response.headers)) }
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
@@ -196,4 +196,20 @@
                 Exchange(listOf(SentAnswer(events(1..2), reset), case.second)).run().completeBody() shouldBe null
             }
         }
+
+        class Empty(val name: String, val pieces: List<String>, val length: Long, val complete: Boolean)
+
+        listOf(
+            Empty("with a length and no event is complete", emptyList(), 0, complete = true),
+            Empty("without a length and an event is broken off", emptyList(), -1, complete = false),
+            Empty("without a length and with only a comment is broken off", listOf(": ping\n\n"), -1, complete = false),
+            Empty("without a length and with an event is complete", events(1..1), -1, complete = true),
+        ).forEach { case ->
+            test("a stream ${case.name}") {
+                val exchange = Exchange(listOf(SentAnswer(case.pieces, length = case.length)))
+                val received = exchange.run()
+                (received.status == 200 && received.completeBody() != null) shouldBe case.complete
+                (exchange.results.single() == AttemptResult.Complete) shouldBe case.complete
+            }
+        }
     })
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/ResponseBodies.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/ResponseBodies.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.net
 
+import okhttp3.Response
 import okhttp3.ResponseBody
 import java.io.IOException
 
@@ -14,3 +15,7 @@
     if (source.request(limit + 1)) throw IOException("the body exceeds $limit bytes")
     return source.readByteArray()
 }
+
+/** Whether the answer has neither a length nor chunks, so that it ends with its connection. */
+val Response.endsWithConnection: Boolean
+    get() = body.contentLength() < 0 && !header("Transfer-Encoding").equals("chunked", ignoreCase = true)
