Relay answers to HEAD and answers 304 with the length of their head

Callers of HEAD got "Content-Length: 0" in place of the backend server's length, and an answer 304 that states the length of the unchanged body became 502.

Cause: a body was read and its length was sent for every answer. For 304 the HTTP client waits for as many bytes as the head states, which never come.

No body is read any more for HEAD, 204 and 304. HEAD gets the length that the server states, or none; the head of a stream is not taken for a stream.

AnswerHeadSpec failed before in four cases, such as "an answer to HEAD with a length is relayed": expected:<12> but was:<0>, and "an answer 304 with the length of its body elsewhere is relayed": expected:<304> but was:<502>. Its cases of HTTP/1.0, "Connection: close", 204 and interim answers passed before.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedAnswer.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedAnswer.kt
@@ -9,8 +9,13 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** A complete answer of a backend server, held in memory before it is relayed. */
-internal class BufferedAnswer(val status: Int, val head: Headers, val body: ByteArray)
+/**
+ * A complete answer of a backend server, held in memory before it is relayed.
+ *
+ * @property length length in bytes that the head states; null if it states none. An answer to HEAD has a length and no
+ * body.
+ */
+internal class BufferedAnswer(val status: Int, val head: Headers, val body: ByteArray, val length: Long?)
 
 /** Writes the answer to a caller; used only by the thread of the request. */
 internal class RoutedAnswer(private val response: HttpServletResponse, private val draining: () -> Boolean) {
@@ -36,7 +41,7 @@
     fun sendWhole(answer: BufferedAnswer) {
         started = true
         setHead(answer.status, answer.head)
-        if (answer.body.isNotEmpty() || answer.status !in BODILESS_STATUSES) response.setContentLength(answer.body.size)
+        answer.length?.let(response::setContentLengthLong)
         response.outputStream.write(answer.body)
         response.outputStream.flush()
     }
@@ -76,6 +81,5 @@
 
     private companion object {
         const val JSON = "application/json"
-        val BODILESS_STATUSES = setOf(204, 304)
     }
 }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -141,20 +141,29 @@
             facts.notExecuted -> AttemptResult.NotExecuted(response.code)
             !response.isSuccessful -> keepFailure(response)
             !facts.signed -> AttemptResult.Failed("the answer is not signed by the backend server", Executed.UNKNOWN)
-            response.body.contentType()?.subtype == EVENT_STREAM -> relayStream(effect, response)
+            isStream(response) -> relayStream(effect, response)
             answer.started -> AttemptResult.Failed("a stream was resumed with another type of answer", Executed.UNKNOWN)
             else -> relayWhole(effect, response)
         }
     }
 
+    private fun isStream(response: Response) =
+        received.method != HEAD && response.body.contentType()?.subtype == EVENT_STREAM
+
     private fun keepFailure(response: Response): AttemptResult {
         failure = bufferedAnswer(response)
         return AttemptResult.ErrorAnswer(response.code)
     }
 
     private fun bufferedAnswer(response: Response): BufferedAnswer {
+        val head = dialect.relayed(response.headers)
+        if (received.method == HEAD || response.code in BODILESS_STATUSES) {
+            // The length in such a head is not that of a body that follows.
+            val length = if (received.method == HEAD) response.header("Content-Length")?.toLongOrNull() else null
+            return BufferedAnswer(response.code, head, ByteArray(0), length)
+        }
         val body = response.body.bytesAtMost(MAX_ANSWER_BYTES)
-        return BufferedAnswer(response.code, dialect.relayed(response.headers), body)
+        return BufferedAnswer(response.code, head, body, body.size.toLong())
     }
 
     private fun relayWhole(effect: RoutingEffect.Forward, response: Response): AttemptResult {
@@ -253,7 +262,9 @@
 
         /** Events between progress reports: about one report every 0.5 s, which keeps the cost of reporting low. */
         const val EVENTS_PER_REPORT = 8
+        const val HEAD = "HEAD"
         const val EVENT_STREAM = "event-stream"
+        val BODILESS_STATUSES = setOf(204, 304)
 
         /** A handle and two numbers. */
         const val MAX_PREFILL_RESULT_BYTES = 64L * 1024
