Fail a call whose answer has a malformed length or an unknown coding

An answer with a length that cannot be read, such as "5, 6" or "-1", or with a transfer coding other than chunked was relayed as complete whatever of it had arrived, and with coded bytes as its body. A negative length ended the request with an internal error (500) instead of a failed attempt.

Cause: the HTTP client takes a length that it cannot parse for none and reads the body up to the end of the connection, where an early end looks complete.

A network interceptor of all HTTP clients now fails such a call, so that the request is retried elsewhere or gets 502.

--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/FramingCheck.kt
@@ -0,0 +1,34 @@
+package io.anvilvalve.net
+
+import okhttp3.Headers
+import okhttp3.Interceptor
+import okhttp3.Response
+import java.net.ProtocolException
+
+/**
+ * Fails a call whose answer has a malformed length or an unknown transfer coding.
+ *
+ * The HTTP client would read such a body up to the end of the connection, so a body that ends early would look complete.
+ */
+internal object FramingCheck : Interceptor {
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val response = chain.proceed(chain.request())
+        fault(response.headers)?.let { throw ProtocolException(it) }
+        return response
+    }
+
+    /** Returns why [head] does not tell where the body ends; null if it does, or if the body ends with its connection. */
+    fun fault(head: Headers): String? {
+        val lengths = head.values("Content-Length").distinct()
+        val codings = head.values("Transfer-Encoding")
+        return when {
+            lengths.size > 1 -> "the answer has several lengths: $lengths"
+            lengths.any { !isLength(it) } -> "the answer has a malformed length: ${lengths.first()}"
+            codings.size > 1 -> "the answer has several transfer codings: $codings"
+            codings.any { !it.equals("chunked", ignoreCase = true) } -> "unknown transfer coding: ${codings.first()}"
+            else -> null
+        }
+    }
+
+    private fun isLength(value: String) = value.all { it in '0'..'9' } && value.toLongOrNull() != null
+}
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
@@ -42,6 +42,7 @@
         .dispatcher(createDispatcher())
         .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
         .eventListenerFactory(SentListenerFactory)
+        .addNetworkInterceptor(FramingCheck)
         .socketFactory(BoundedSockets(MAX_LINE_BYTES))
         .apply { if (cleartext) connectionSpecs(listOf(ConnectionSpec.CLEARTEXT)) }
         .build()
