--- a/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/OkHttpBackendServerClientSpec.kt
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/OkHttpBackendServerClientSpec.kt
@@ -21,6 +21,7 @@
 import java.net.ServerSocket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Guards against calls sent twice, executed calls reported as not executed, and misread token streams. */
@@ -125,6 +126,32 @@
             }
         }
 
+        class Ending(val name: String, val head: String, val reset: Boolean, val body: String?)
+
+        listOf(
+            Ending("is closed", "", reset = false, body = "bytes"),
+            Ending("is reset", "", reset = true, body = null),
+            Ending("has a malformed length", "Content-Length: 5x\r\n", reset = false, body = null),
+        ).forEach { case ->
+            test("a service answer that ends with its connection and ${case.name} yields ${case.body ?: "a fault"}") {
+                ServerSocket(0).use { listener ->
+                    val server = thread {
+                        listener.accept().use {
+                            it.getInputStream().read()
+                            it.getOutputStream().write("HTTP/1.1 200 OK\r\n${case.head}\r\nbytes".toByteArray())
+                            if (case.reset) it.setSoLinger(true, 0) else it.shutdownOutput()
+                            if (!case.reset) it.getInputStream().readAllBytes()
+                        }
+                    }
+                    val call = ServiceCall(RequestId("r"), "GET", "/", null, ByteArray(0), null)
+                    val result = client.call(backendAt("127.0.0.1:${listener.localPort}"), call)
+                    result.getOrNull()?.body?.decodeToString() shouldBe case.body
+                    result.leftOrNull()?.executed shouldBe if (case.body == null) Executed.UNKNOWN else null
+                    server.join()
+                }
+            }
+        }
+
         test("a service call carries path, body and idempotency key, and follows no redirect") {
             ScriptedServer { exchange ->
                 exchange.responseHeaders.add("Location", "/elsewhere")
