Use a prefill result only if it echoes the attempt of its request

A prefill engine whose answer echoes the attempt id of another request had its handle passed to the decode engine, which would go on from the memory of that request. The check of the echoed id existed for answers to callers only.

Such a result is now a failed prefill, which is retried elsewhere or run by the decode engine.

RoutingHostSpec failed before in "a prefill result with another request's attempt id is not used": expected:<[<null>]> but was:<[.../prefill-1-1]>.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -98,10 +98,10 @@
         val outbound = OutboundCall(effect.server.id.value, effect.terms, prefillOnly = true)
         val result = call(effect.attempt, upstream.prepare(received, effect.server, outbound)) { response ->
             val body = response.body.bytesAtMost(MAX_PREFILL_RESULT_BYTES)
-            if (response.code == OK) {
-                dialect.prefillHandle(body).fold({ PrefillResult.Failed(it) }, { PrefillResult.Done(it) })
-            } else {
-                PrefillResult.Failed("status ${response.code}")
+            when {
+                isOfOtherAttempt(dialect.answer(response.code, response.headers)) -> PrefillResult.Failed(OTHER_ATTEMPT)
+                response.code != OK -> PrefillResult.Failed("status ${response.code}")
+                else -> dialect.prefillHandle(body).fold({ PrefillResult.Failed(it) }, { PrefillResult.Done(it) })
             }
         }
         post(
@@ -135,9 +135,8 @@
 
     private fun handleResponse(effect: RoutingEffect.Forward, response: Response): AttemptResult {
         val facts = dialect.answer(response.code, response.headers)
-        val otherAttempt = facts.attemptId != null && facts.attemptId != received.attemptId
         return when {
-            otherAttempt -> AttemptResult.Failed("the answer has another request's attempt id", Executed.UNKNOWN)
+            isOfOtherAttempt(facts) -> AttemptResult.Failed(OTHER_ATTEMPT, Executed.UNKNOWN)
             facts.notExecuted -> AttemptResult.NotExecuted(response.code)
             !response.isSuccessful -> keepFailure(response)
             !facts.signed -> AttemptResult.Failed("the answer is not signed by the backend server", Executed.UNKNOWN)
@@ -147,6 +146,8 @@
         }
     }
 
+    private fun isOfOtherAttempt(facts: AnswerFacts) = facts.attemptId != null && facts.attemptId != received.attemptId
+
     private fun isStream(response: Response) =
         received.method != HEAD && response.body.contentType()?.subtype == EVENT_STREAM
 
@@ -263,6 +264,7 @@
         /** Events between progress reports: about one report every 0.5 s, which keeps the cost of reporting low. */
         const val EVENTS_PER_REPORT = 8
         const val HEAD = "HEAD"
+        const val OTHER_ATTEMPT = "the answer has another request's attempt id"
         const val EVENT_STREAM = "event-stream"
         val BODILESS_STATUSES = setOf(204, 304)
 
