Limit the answers that the command line and the report tool read

Both read an answer of a host to its end, however long it was; an answer without a length has no end until its connection is closed, so a wrong address could fill the memory of the command.

They now read at most 1 MB of a status and 16 MB of metrics.

--- a/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/HttpOperatorApi.kt
+++ b/anvilvalve-cli/src/main/kotlin/io/anvilvalve/cli/HttpOperatorApi.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.net.bytesAtMost
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.withContext
 import kotlinx.serialization.json.JsonObject
@@ -37,10 +38,15 @@
             .mapLeft { it.message ?: it.javaClass.simpleName }
             .flatMap { response ->
                 response.use { answer ->
-                    Either.catch { answer.body.string() }
+                    Either.catch { answer.body.bytesAtMost(MAX_ANSWER_BYTES).decodeToString() }
                         .mapLeft { it.message ?: it.javaClass.simpleName }
                         .flatMap { if (answer.isSuccessful) Either.Right(it) else Either.Left("HTTP ${answer.code}") }
                 }
             }
     }
+
+    companion object {
+        /** A status lists the members of a fleet. */
+        const val MAX_ANSWER_BYTES = 1024L * 1024
+    }
 }
--- a/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/Scraper.kt
+++ b/anvilvalve-report/src/main/kotlin/io/anvilvalve/report/Scraper.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.report
 
+import io.anvilvalve.net.bytesAtMost
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import java.io.IOException
@@ -18,14 +19,17 @@
         token?.let { request.header("Authorization", "Bearer $it") }
         return try {
             client.newCall(request.build()).execute().use { response ->
-                if (response.isSuccessful) Sample.of(atMillis, host, response.body.string()) else Sample(atMillis, host)
+                val text = response.body.bytesAtMost(MAX_METRICS_BYTES).decodeToString()
+                if (response.isSuccessful) Sample.of(atMillis, host, text) else Sample(atMillis, host)
             }
         } catch (_: IOException) {
             Sample(atMillis, host)
         }
     }
 
-    private companion object {
-        const val TIMEOUT_SECONDS = 10L
+    companion object {
+        /** Each organisation and model adds some lines. */
+        const val MAX_METRICS_BYTES = 16L * 1024 * 1024
+        private const val TIMEOUT_SECONDS = 10L
     }
 }
