--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.host.CallerWatch
 import io.anvilvalve.net.bytesAtMost
+import io.anvilvalve.net.endsWithConnection
 import io.anvilvalve.rules.routing.AttemptResult
 import io.anvilvalve.rules.routing.InboundRequest
 import io.anvilvalve.rules.routing.PrefillResult
@@ -35,7 +36,12 @@
     private var abandonedAttempt = 0
 
     private var failure: BufferedAnswer? = null
+
+    /** Id of the last relayed event; null if there is none or it has no id. */
     private var resumeAfter: String? = null
+
+    /** Events that all attempts have relayed. */
+    private var relayedEvents = 0
     private var reportedEvents = 0
 
     /** Queues [effect] for the request's thread, or cancels an abandoned attempt; called by the event loop's thread. */
@@ -50,8 +56,15 @@
 
     /** Handles the request [arrived]; returns when the answer has ended. */
     fun run(arrived: InboundRequest) {
-        post(RoutingEvent.Arrived(arrived))
-        while (runEffect(pendingEffects.take())) Unit
+        var ended = false
+        try {
+            post(RoutingEvent.Arrived(arrived))
+            while (runEffect(pendingEffects.take())) Unit
+            ended = true
+        } finally {
+            // After an exception, the HTTP server would end a partial answer as if it were complete.
+            if (!ended && answer.started) watch.abort()
+        }
     }
 
     /** Returns whether the exchange goes on after [effect]. */
@@ -85,10 +98,10 @@
         val outbound = OutboundCall(effect.server.id.value, effect.terms, prefillOnly = true)
         val result = call(effect.attempt, upstream.prepare(received, effect.server, outbound)) { response ->
             val body = response.body.bytesAtMost(MAX_PREFILL_RESULT_BYTES)
-            if (response.code == OK) {
-                dialect.prefillHandle(body).fold({ PrefillResult.Failed(it) }, { PrefillResult.Done(it) })
-            } else {
-                PrefillResult.Failed("status ${response.code}")
+            when {
+                isOfOtherAttempt(dialect.answer(response.code, response.headers)) -> PrefillResult.Failed(OTHER_ATTEMPT)
+                response.code != OK -> PrefillResult.Failed("status ${response.code}")
+                else -> dialect.prefillHandle(body).fold({ PrefillResult.Failed(it) }, { PrefillResult.Done(it) })
             }
         }
         post(
@@ -115,32 +128,43 @@
             call<AttemptResult>(effect.attempt, upstream.prepare(received, effect.server, outbound)) { response ->
                 handleResponse(effect, response).also { ended = it == AttemptResult.Complete }
             }
-        val result = outcome.orFailed { it }
+        val result = outcome.orFailed { it.copy(resumable = relayedEvents == 0 || resumeAfter != null) }
         post(RoutingEvent.AttemptEnded(id, effect.attempt, result))
         return ended
     }
 
     private fun handleResponse(effect: RoutingEffect.Forward, response: Response): AttemptResult {
         val facts = dialect.answer(response.code, response.headers)
-        val otherAttempt = facts.attemptId != null && facts.attemptId != received.attemptId
         return when {
-            otherAttempt -> AttemptResult.Failed("the answer has another request's attempt id", Executed.UNKNOWN)
+            isOfOtherAttempt(facts) -> AttemptResult.Failed(OTHER_ATTEMPT, Executed.UNKNOWN)
             facts.notExecuted -> AttemptResult.NotExecuted(response.code)
             !response.isSuccessful -> keepFailure(response)
             !facts.signed -> AttemptResult.Failed("the answer is not signed by the backend server", Executed.UNKNOWN)
-            response.body.contentType()?.subtype == EVENT_STREAM -> relayStream(effect, response)
+            isStream(response) -> relayStream(effect, response)
+            answer.started -> AttemptResult.Failed("a stream was resumed with another type of answer", Executed.UNKNOWN)
             else -> relayWhole(effect, response)
         }
     }
 
+    private fun isOfOtherAttempt(facts: AnswerFacts) = facts.attemptId != null && facts.attemptId != received.attemptId
+
+    private fun isStream(response: Response) =
+        received.method != HEAD && response.body.contentType()?.subtype == EVENT_STREAM
+
     private fun keepFailure(response: Response): AttemptResult {
         failure = bufferedAnswer(response)
         return AttemptResult.ErrorAnswer(response.code)
     }
 
     private fun bufferedAnswer(response: Response): BufferedAnswer {
+        val head = dialect.relayed(response.headers)
+        if (received.method == HEAD || response.code in BODILESS_STATUSES) {
+            // The length in such a head is not that of a body that follows.
+            val length = if (received.method == HEAD) response.header("Content-Length")?.toLongOrNull() else null
+            return BufferedAnswer(response.code, head, ByteArray(0), length)
+        }
         val body = response.body.bytesAtMost(MAX_ANSWER_BYTES)
-        return BufferedAnswer(response.code, dialect.relayed(response.headers), body)
+        return BufferedAnswer(response.code, head, body, body.size.toLong())
     }
 
     private fun relayWhole(effect: RoutingEffect.Forward, response: Response): AttemptResult {
@@ -154,6 +178,7 @@
 
     private fun relayStream(effect: RoutingEffect.Forward, response: Response): AttemptResult {
         val frames = EventFrames(response.body.source())
+        val earlierEvents = relayedEvents
         while (true) {
             val bytes = frames.next() ?: break
             if (!answer.started) {
@@ -161,8 +186,13 @@
                 writeToCaller { answer.sendHead(response.code, dialect.relayed(response.headers)) }
             }
             writeToCaller { answer.write(bytes) }
-            reportProgress(effect.attempt, frames.count)
-            frames.lastId?.let { resumeAfter = it }
+            relayedEvents = earlierEvents + frames.count
+            reportProgress(effect.attempt)
+            if (frames.count > 0) resumeAfter = frames.lastId
+        }
+        // A server that crashes after its head closes the connection as if the stream had ended.
+        if (frames.count == 0 && response.endsWithConnection) {
+            return AttemptResult.Failed("the stream ended before its first event", Executed.UNKNOWN)
         }
         if (!answer.started) {
             post(RoutingEvent.AnswerStarted(id, effect.attempt))
@@ -172,10 +202,10 @@
         return AttemptResult.Complete
     }
 
-    private fun reportProgress(attempt: Int, events: Int) {
-        if (events - reportedEvents < EVENTS_PER_REPORT) return
-        reportedEvents = events
-        post(RoutingEvent.AnswerProgressed(id, attempt, events))
+    private fun reportProgress(attempt: Int) {
+        if (relayedEvents - reportedEvents < EVENTS_PER_REPORT) return
+        reportedEvents = relayedEvents
+        post(RoutingEvent.AnswerProgressed(id, attempt, relayedEvents))
     }
 
     /** Runs [write] and treats its failure as a disconnect of the caller. */
@@ -233,7 +263,10 @@
 
         /** Events between progress reports: about one report every 0.5 s, which keeps the cost of reporting low. */
         const val EVENTS_PER_REPORT = 8
+        const val HEAD = "HEAD"
+        const val OTHER_ATTEMPT = "the answer has another request's attempt id"
         const val EVENT_STREAM = "event-stream"
+        val BODILESS_STATUSES = setOf(204, 304)
 
         /** A handle and two numbers. */
         const val MAX_PREFILL_RESULT_BYTES = 64L * 1024
