Log whether only the end of the connection ended an answer

When a caller reports an incomplete answer that looked complete, the log could not tell an answer that its worker closed in order from one that the host ended itself: REQUEST_FINISHED is the same for an answer with a length, with chunks or with neither.

REQUEST_FINISHED, REQUEST_FAILED and REQUEST_REFUSED now have ends_with_connection.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -169,7 +169,7 @@
 
     private fun relayWhole(effect: RoutingEffect.Forward, response: Response): AttemptResult {
         val buffered = bufferedAnswer(response)
-        post(RoutingEvent.AnswerStarted(id, effect.attempt))
+        post(RoutingEvent.AnswerStarted(id, effect.attempt, response.endsWithConnection))
         // Closed before the last byte is written, because the caller may then send its next request on this connection.
         watch.close()
         writeToCaller { answer.sendWhole(buffered) }
@@ -182,7 +182,7 @@
         while (true) {
             val bytes = frames.next() ?: break
             if (!answer.started) {
-                post(RoutingEvent.AnswerStarted(id, effect.attempt))
+                post(RoutingEvent.AnswerStarted(id, effect.attempt, response.endsWithConnection))
                 writeToCaller { answer.sendHead(response.code, dialect.relayed(response.headers)) }
             }
             writeToCaller { answer.write(bytes) }
@@ -195,7 +195,7 @@
             return AttemptResult.Failed("the stream ended before its first event", Executed.UNKNOWN)
         }
         if (!answer.started) {
-            post(RoutingEvent.AnswerStarted(id, effect.attempt))
+            post(RoutingEvent.AnswerStarted(id, effect.attempt, response.endsWithConnection))
             writeToCaller { answer.sendHead(response.code, dialect.relayed(response.headers)) }
         }
         watch.close()
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
@@ -104,6 +104,9 @@
     var sentAt = Duration.ZERO
     var startedAt: Duration? = null
 
+    /** Whether the answer of the latest attempt that started one has neither a length nor chunks. */
+    var answerEndsWithConnection = false
+
     /** Prefill result that no engine has fetched yet. An engine can fetch it until [sourceExpiresAt]. */
     var source: PrefillSource? = null
     var sourceExpiresAt = Duration.ZERO
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
@@ -57,6 +57,7 @@
         "runs" to request.runs,
         "started_ms" to request.startedAt?.let { (it - request.arrivedAt).inWholeMilliseconds },
         "lasted_ms" to (out.now - request.arrivedAt).inWholeMilliseconds,
+        "ends_with_connection" to request.answerEndsWithConnection,
     )
 
     private fun measure(request: LiveRequest, code: ResultCode?) = out.emit(
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -100,9 +100,10 @@
     private fun forwardOrRefuse(request: LiveRequest) =
         if (isTooLate(request)) refuse(request, ResultCode.DRAINING) else forward(request, request.source)
 
-    fun answerStarted(id: RequestId, attempt: Int) {
-        val request = inFlight[id]?.takeIf { it.attempt == attempt } ?: return
+    fun answerStarted(event: RoutingEvent.AnswerStarted) {
+        val request = inFlight[event.id]?.takeIf { it.attempt == event.attempt } ?: return
         if (request.startedAt == null) request.startedAt = out.now
+        request.answerEndsWithConnection = event.endsWithConnection
     }
 
     /** Adjusts the memory reserved for a streamed answer to its progress. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
@@ -21,8 +21,12 @@
     /** A prefill completed or failed. */
     data class PrefillEnded(val id: RequestId, val attempt: Int, val result: PrefillResult) : RoutingEvent
 
-    /** The head of a successful answer arrived and is being relayed. */
-    data class AnswerStarted(val id: RequestId, val attempt: Int) : RoutingEvent
+    /**
+     * The head of a successful answer arrived and is being relayed; [endsWithConnection] is set if it has neither a
+     * length nor chunks.
+     */
+    data class AnswerStarted(val id: RequestId, val attempt: Int, val endsWithConnection: Boolean = false) :
+        RoutingEvent
 
     /** [events] events of a streamed answer have been relayed since it started. */
     data class AnswerProgressed(val id: RequestId, val attempt: Int, val events: Int) : RoutingEvent
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -125,7 +125,7 @@
 
             is RoutingEvent.AnswerProgressed -> requests.answerProgressed(event.id, event.attempt, event.events)
 
-            is RoutingEvent.AnswerStarted -> requests.answerStarted(event.id, event.attempt)
+            is RoutingEvent.AnswerStarted -> requests.answerStarted(event)
 
             is RoutingEvent.AttemptEnded -> gossipIfChanged {
                 requests.attemptEnded(event.id, event.attempt, event.result)
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RequestsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RequestsSpec.kt
@@ -201,6 +201,17 @@
             }
         }
 
+        test("the log tells an answer that only its connection ends from one with a length or chunks") {
+            listOf(true, false).forEach { endsWithConnection ->
+                val host = RoutingFixture()
+                val forward = host.arrive("/drawers/1").forward
+                host.send(RoutingEvent.AnswerStarted(forward.id, forward.attempt, endsWithConnection))
+                val logged = host.endAttempt(forward, AttemptResult.Complete).filterIsInstance<RoutingEffect.Log>()
+                logged.single { it.event == LogEvent.REQUEST_FINISHED }.fields["ends_with_connection"] shouldBe
+                    "$endsWithConnection"
+            }
+        }
+
         test("a request that cannot be placed in time is refused at once with a retry time") {
             val host = RoutingFixture(backends = listOf(engine("e1", Stage.DECODE)))
             val arrivals = (1..60).map { host.arrive("/sheets/$it", promptTokens = 5_000, outputTokens = 4_000) }
