Treat a stream that ends with its connection inside a line as broken off

A worker's stream without a length and chunks that was cut inside a comment, or between the CR and the LF of an event's last line, reached its caller as a complete answer.

Cause: of a partial line at the end, only one that begins a field counted as a break. With a length or chunks the framing says whether the answer is whole; if only the end of the connection ends it, a partial line shows a break like a partial event does.

EventFrames now knows whether the end of the connection ends the stream, and reports the end inside any line as a break then. A single CR stays a line end in a stream that has used no CR LF.

EventFramesSpec failed before in four of seven new cases, such as "a stream without a length and chunks that ends inside a comment is broken": "Expected exception java.io.IOException but no exception was thrown".

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/EventFrames.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/EventFrames.kt
@@ -6,8 +6,12 @@
 import java.io.EOFException
 import java.io.IOException
 
-/** Splits a stream of server-sent events into whole events, so that a broken stream relays no partial event. */
-internal class EventFrames(private val source: BufferedSource) {
+/**
+ * Splits a stream of server-sent events into whole events, so that a broken stream relays no partial event.
+ *
+ * @param endsWithConnection whether only the end of the connection ends the stream, so that a break looks like an end.
+ */
+internal class EventFrames(private val source: BufferedSource, private val endsWithConnection: Boolean = false) {
     private val buffer = source.buffer
 
     /** Offset in the buffer of the first line that has not ended. */
@@ -19,6 +23,9 @@
     /** Whether the byte before [lineStart] is a CR, which a LF may still follow. */
     private var afterCarriageReturn = false
 
+    /** Whether a CR LF has ended a line. */
+    private var usesCarriageReturnLineFeed = false
+
     /** Whether a field has been read since the last empty line. */
     private var insideEvent = false
 
@@ -35,7 +42,8 @@
     /**
      * Returns the next bytes to relay: whole events, or at the end of the stream comments and empty lines; null after it.
      *
-     * @throws IOException when the stream breaks, ends inside an event or has an event of over [MAX_EVENT_BYTES] bytes.
+     * @throws IOException when the stream breaks, ends inside an event, has an event of over [MAX_EVENT_BYTES] bytes, or
+     * ends inside any line together with its connection.
      */
     fun next(): ByteArray? {
         while (true) {
@@ -45,6 +53,7 @@
             if (before > MAX_EVENT_BYTES) throw IOException("an event exceeds $MAX_EVENT_BYTES bytes")
             if (!source.request(before + 1)) {
                 if (endsInsideEvent()) throw EOFException("the stream ended inside an event")
+                if (endsWithConnection && endsInsideLine()) throw EOFException("the stream ended inside a line")
                 return if (before == 0L) null else take(before)
             }
         }
@@ -74,7 +83,10 @@
     /** Skips the LF of a CR LF as soon as it has arrived; a CR alone also ends a line. */
     private fun skipLineFeed() {
         if (!afterCarriageReturn || lineStart == buffer.size) return
-        if (buffer[lineStart] == LINE_FEED) lineStart++
+        if (buffer[lineStart] == LINE_FEED) {
+            lineStart++
+            usesCarriageReturnLineFeed = true
+        }
         afterCarriageReturn = false
     }
 
@@ -98,6 +110,8 @@
 
     private fun endsInsideEvent() = insideEvent || (lineStart < buffer.size && buffer[lineStart] != COMMENT)
 
+    private fun endsInsideLine() = lineStart < buffer.size || (afterCarriageReturn && usesCarriageReturnLineFeed)
+
     private fun take(bytes: Long): ByteArray {
         lineStart = maxOf(lineStart - bytes, 0)
         searched -= bytes
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -177,7 +177,7 @@
     }
 
     private fun relayStream(effect: RoutingEffect.Forward, response: Response): AttemptResult {
-        val frames = EventFrames(response.body.source())
+        val frames = EventFrames(response.body.source(), response.endsWithConnection)
         val earlierEvents = relayedEvents
         while (true) {
             val bytes = frames.next() ?: break
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/EventFramesSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/EventFramesSpec.kt
@@ -125,6 +125,25 @@
             }
         }
 
+        class Cut(val name: String, val stream: String, val complete: Boolean)
+
+        listOf(
+            Cut("ends inside a comment", "id: 1\n\n: ping", complete = false),
+            Cut("ends inside the first line", ": pi", complete = false),
+            Cut("ends between the CR and the LF of an event", "id: 1\r\ndata: a\r\n\r", complete = false),
+            Cut("ends between the CR and the LF of a comment", "id: 1\r\n\r\n: ping\r", complete = false),
+            Cut("ends with the LF of an event", "id: 1\r\ndata: a\r\n\r\n", complete = true),
+            Cut("ends with the CR of an event in which CR ends lines", "id: 1\rdata: a\r\r", complete = true),
+            Cut("ends with a comment line", "id: 1\n\n: ping\n", complete = true),
+        ).forEach { case ->
+            val result = if (case.complete) "complete" else "broken"
+            test("a stream without a length and chunks that ${case.name} is $result") {
+                val frames = EventFrames(source(listOf(case.stream)).buffer(), endsWithConnection = true)
+                val read = { generateSequence { frames.next()?.decodeToString() }.joinToString("") }
+                if (case.complete) read() shouldBe case.stream else shouldThrow<IOException> { read() }
+            }
+        }
+
         test("relays the same bytes and counts the same events for any split into reads") {
             val whole = (1..40).joinToString("") { "id: $it\ndata: ${"x".repeat(it)}\n\n" }
             val random = Random(seed = 9)
