Read an answer without a content type as a stream on a route of streams

A stream whose head named no content type was held as a whole answer. Its caller got no event before the end, and if its worker crashed and closed the connection in order, the part that had arrived was sent with a length, so that it looked complete.

Cause: only the content type decided whether an answer is a stream, although the route says so as well. The call to the worker now carries what its route expects; an answer that names another type is still relayed as a whole.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -140,7 +140,7 @@
             facts.notExecuted -> AttemptResult.NotExecuted(response.code)
             !response.isSuccessful -> keepFailure(response)
             !facts.signed -> AttemptResult.Failed("the answer is not signed by the backend server", Executed.UNKNOWN)
-            isStream(response) -> relayStream(effect, response)
+            isStream(effect, response) -> relayStream(effect, response)
             answer.started -> AttemptResult.Failed("a stream was resumed with another type of answer", Executed.UNKNOWN)
             else -> relayWhole(effect, response)
         }
@@ -148,8 +148,11 @@
 
     private fun isOfOtherAttempt(facts: AnswerFacts) = facts.attemptId != null && facts.attemptId != received.attemptId
 
-    private fun isStream(response: Response) =
-        received.method != HEAD && response.body.contentType()?.subtype == EVENT_STREAM
+    private fun isStream(effect: RoutingEffect.Forward, response: Response): Boolean {
+        if (received.method == HEAD) return false
+        val isUntyped = response.header("Content-Type") == null
+        return response.body.contentType()?.subtype == EVENT_STREAM || (effect.expectsStream && isUntyped)
+    }
 
     private fun keepFailure(response: Response): AttemptResult {
         failure = bufferedAnswer(response)
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
@@ -69,12 +69,13 @@
  * Answer of a backend server that arrives in [pieces].
  *
  * @property failure thrown after the last piece; null if the answer ends.
+ * @property type content type in its head; null if it states none.
  * @property length length in its head; -1 if the answer ends with its connection.
  */
 private class SentAnswer(
     val pieces: List<String>,
     val failure: Exception? = null,
-    val type: String = "text/event-stream",
+    val type: String? = "text/event-stream",
     val length: Long = pieces.sumOf { it.length.toLong() },
 )
 
@@ -95,8 +96,8 @@
             .protocol(Protocol.HTTP_1_1)
             .code(200)
             .message("OK")
-            .header("Content-Type", answer.type)
-            .body(source(answer).buffer().asResponseBody(answer.type.toMediaType(), answer.length))
+            .apply { answer.type?.let { header("Content-Type", it) } }
+            .body(source(answer).buffer().asResponseBody(answer.type?.toMediaType(), answer.length))
             .build()
     }.build()
 
@@ -133,8 +134,13 @@
         else -> RoutingEffect.Fail(id, ResultCode.BACKEND_FAILED)
     }
 
-    private fun forward() =
-        RoutingEffect.Forward(id, resumedAfter.size + 1, server, CallTerms(1.seconds, organisation = null, urgency = 5))
+    private fun forward() = RoutingEffect.Forward(
+        id,
+        resumedAfter.size + 1,
+        server,
+        CallTerms(1.seconds, organisation = null, urgency = 5),
+        expectsStream = true,
+    )
 
     private fun source(answer: SentAnswer) = object : ForwardingSource(Buffer()) {
         private val left = ArrayDeque(answer.pieces)
@@ -197,6 +203,20 @@
             }
         }
 
+        class Untyped(val name: String, val pieces: List<String>, val complete: Boolean)
+
+        listOf(
+            Untyped("ends after an event", events(1..2), complete = true),
+            Untyped("ends inside an event", events(1..2) + "id: 3\nda", complete = false),
+            Untyped("ends before its first event", emptyList(), complete = false),
+        ).forEach { case ->
+            val result = if (case.complete) "complete" else "broken off"
+            test("a stream without a content type, a length and chunks that ${case.name} is $result") {
+                val received = Exchange(listOf(SentAnswer(case.pieces, type = null, length = -1))).run()
+                (received.status == 200 && received.completeBody() != null) shouldBe case.complete
+            }
+        }
+
         class Empty(val name: String, val pieces: List<String>, val length: Long, val complete: Boolean)
 
         listOf(
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -320,7 +320,9 @@
             "configuration" to request.configurationVersion,
             *placement.stateFields(),
         )
-        out.emit(RoutingEffect.Forward(request.id, request.attempt, server, terms(request), source))
+        out.emit(
+            RoutingEffect.Forward(request.id, request.attempt, server, terms(request), source, isStream(request)),
+        )
     }
 
     private fun sourceLifetime(request: LiveRequest) =
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
@@ -26,13 +26,17 @@
     data class Prefill(override val id: RequestId, val attempt: Int, val server: Backend, val terms: CallTerms) :
         OnRequest
 
-    /** Sends the request to [server] and relays a successful answer. */
+    /**
+     * Sends the request to [server] and relays a successful answer; with [expectsStream], an answer that names no
+     * content type is a stream.
+     */
     data class Forward(
         override val id: RequestId,
         val attempt: Int,
         val server: Backend,
         val terms: CallTerms,
         val source: PrefillSource? = null,
+        val expectsStream: Boolean = false,
     ) : OnRequest
 
     /** Relays the backend server's error answer, which the daemon holds. */
