Log when the store comes back from an older copy

STORE_RESTORED names the era, the end of the topic and what the host holds; CONFIGURATION_APPLIED names the era. Nothing else changes: hosts still compare offsets only.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/LogEvent.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/LogEvent.kt
@@ -43,6 +43,7 @@
     STATE_UNWRITTEN(2217, "The platform's store did not take a value; it may have been written."),
     STATE_WRITTEN(2218, "The platform's store takes values again."),
     DIRECTORY_READ(2219, "The entries of all backend servers were read for the first time."),
+    STORE_RESTORED(2220, "The platform's store came back from an older copy; what was written since is lost."),
     MEMBER_JOINED(2301, "A host joined."),
     MEMBER_REMOVED(2302, "The removal of a host took effect."),
     CURRENT_LOST(2303, "The host is no longer current."),
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateStore.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateStore.kt
@@ -8,8 +8,8 @@
     /** Returns the newest record of every key of [topic]. */
     fun newest(topic: StateTopic): Either<StoreFault, StatePage>
 
-    /** Returns the records of [topic] from offset [from] on; waits up to [wait] for the first. */
-    fun read(topic: StateTopic, from: Long, wait: Duration): Either<StoreFault, StatePage>
+    /** Returns the records of [topic] from position [from] on; waits up to [wait] for the first. */
+    fun read(topic: StateTopic, from: StorePosition, wait: Duration): Either<StoreFault, StatePage>
 
     /** Acquires a fencing token for [holder] that is higher than all earlier ones. */
     fun acquireFencingToken(holder: String): Either<StoreFault, Long>
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/RoutingRig.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/RoutingRig.kt
@@ -26,6 +26,7 @@
 import io.anvilvalve.api.routing.StateDecoder
 import io.anvilvalve.api.routing.StatePage
 import io.anvilvalve.api.routing.StateTopic
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 import io.anvilvalve.api.routing.WeightedTarget
 import io.anvilvalve.rules.routing.AttemptResult
@@ -102,8 +103,10 @@
         now += pause / 2
     }
 
-    private fun stateRead(topic: StateTopic, entries: List<StoredEntry>) =
-        dispatch(RoutingEvent.StateRead(topic, StatePage(entries, entries.size.toLong(), complete = true).right()))
+    private fun stateRead(topic: StateTopic, entries: List<StoredEntry>): List<RoutingEffect> {
+        val end = StorePosition(era = 0, offset = entries.size.toLong())
+        return dispatch(RoutingEvent.StateRead(topic, StatePage(entries, end, complete = true).right()))
+    }
 
     private fun dispatch(event: RoutingEvent): List<RoutingEffect> = reducer.reduce(event, now).onEach { effect ->
         if (effect is RoutingEffect.SendFrame) {
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.routing.StateStore
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StoreFault
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.rules.routing.RoutingEvent
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.locks.ReentrantLock
@@ -70,7 +71,7 @@
     }
 
     private fun follow(topic: StateTopic, wait: () -> Duration, pause: Duration) = untilClosed {
-        var next: Long? = null
+        var next: StorePosition? = null
         var failures = 0
         while (true) {
             // What changed while this host did not follow the store may have been deleted from its history.
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/StateWriterSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/StateWriterSpec.kt
@@ -8,6 +8,7 @@
 import io.anvilvalve.api.routing.StateStore
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StoreFault
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.rules.routing.RoutingEffect
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
@@ -28,7 +29,7 @@
 
     override fun newest(topic: StateTopic): Either<StoreFault, StatePage> = error("not called")
 
-    override fun read(topic: StateTopic, from: Long, wait: Duration): Either<StoreFault, StatePage> =
+    override fun read(topic: StateTopic, from: StorePosition, wait: Duration): Either<StoreFault, StatePage> =
         error("not called")
 
     override fun acquireFencingToken(holder: String): Either<StoreFault, Long> = error("not called")
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -42,6 +42,7 @@
     }
 
     private val readStatuses = StateTopic.entries.associateWith { ReadStatus() }
+    private var era: Long? = null
     private var requestedAt: Duration? = null
     private var requestedOffsets: Pair<Long, Long>? = null
 
@@ -98,11 +99,20 @@
 
     private fun applyPage(topic: StateTopic, page: StatePage) {
         markRegained(topic)
+        noteEra(topic, page)
         when (topic) {
             StateTopic.CONFIGURATION -> page.entries.forEach { applyConfiguration(it, "store") }
 
             StateTopic.DIRECTORY ->
-                if (directory.apply(page.entries, page.complete, page.next, removalGrace())) sink.serversChanged()
+                if (directory.apply(
+                        page.entries,
+                        page.complete,
+                        page.next.offset,
+                        removalGrace(),
+                    )
+                ) {
+                    sink.serversChanged()
+                }
 
             StateTopic.HOSTS -> applyHosts(page.entries)
 
@@ -110,6 +120,23 @@
         }
     }
 
+    private fun noteEra(topic: StateTopic, page: StatePage) {
+        val before = era
+        if (before != null && page.next.era <= before) return
+        era = page.next.era
+        if (before == null) return
+        out.log(
+            LogEvent.STORE_RESTORED,
+            "era" to page.next.era,
+            "before" to before,
+            "topic" to topic,
+            "end" to page.next.offset,
+            "configuration" to configuration.current?.version,
+            "configuration_offset" to configuration.offset,
+            "directory" to directory.offset,
+        )
+    }
+
     private fun applyConfiguration(entry: StoredEntry, source: String) {
         when (val update = configuration.update(entry)) {
             is ConfigurationState.Update.Stale -> Unit
@@ -122,6 +149,7 @@
                     LogEvent.CONFIGURATION_APPLIED,
                     "configuration" to update.configuration.version,
                     "offset" to entry.offset,
+                    "era" to entry.era,
                     "from" to source,
                     "routes" to update.configuration.routes.size,
                 )
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
@@ -11,6 +11,7 @@
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StatePage
 import io.anvilvalve.api.routing.StateTopic
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -142,7 +143,7 @@
     private fun readStore(host: Host) {
         val entries = listOfNotNull(stored)
         listOf(StateTopic.CONFIGURATION to entries, StateTopic.DIRECTORY to emptyList()).forEach { (topic, read) ->
-            val page = StatePage(read, offset, complete = false)
+            val page = StatePage(read, StorePosition(0, offset), complete = false)
             perform(host, host.fixture.send(RoutingEvent.StateRead(topic, page.right())))
         }
     }
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
@@ -28,6 +28,7 @@
 import io.anvilvalve.api.routing.StatePage
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StoreFault
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 import io.anvilvalve.api.routing.WeightedTarget
 import kotlin.time.Duration
@@ -142,7 +143,7 @@
     fun entry(key: String, value: Any?) = StoredEntry(key, offset++, value?.let(decoder::encode))
 
     fun read(topic: StateTopic, entries: List<StoredEntry>, complete: Boolean = true): List<RoutingEffect> =
-        send(RoutingEvent.StateRead(topic, StatePage(entries, offset, complete).right()))
+        send(RoutingEvent.StateRead(topic, StatePage(entries, StorePosition(0, offset), complete).right()))
 
     fun failStoreReads() = StateTopic.entries.forEach { send(RoutingEvent.StateRead(it, StoreFault("down").left())) }
 
