Apply what is published and registered after the store came back from a copy

Cause: offsets of before and after the return were compared, although the store gives them out again. ConfigurationState called a record stale whose offset was not above the last one, and Directory refused a whole read that ended below its own position.

Versions now decide which of two configurations is newer: the operators number them, so an older one in the copy never replaces the one in force, and those that are written again take their place. Positions of the directory are compared with their era. Just after a restore, missing entries are kept for the time in which their servers register again, as after an outage.

StoreRestoreSpec failed before in four of five cases, such as "a version published after a restore is in force, read as next": expected:<false> but was:<true>, and "a server that registers after a restore is used": expected:<p2> but was:<p1>.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
@@ -7,6 +7,7 @@
 import io.anvilvalve.api.routing.ServiceId
 import io.anvilvalve.api.routing.ServiceSpec
 import io.anvilvalve.api.routing.StateDecoder
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 
 /** The configuration in force. An older version never replaces a newer one. */
@@ -23,10 +24,15 @@
 
     val offset: Long get() = entry?.offset ?: -1
 
-    /** Applies [record] unless it is older than the one in force or cannot be decoded. */
+    /**
+     * Applies [record] unless it is older than the one in force or cannot be decoded.
+     *
+     * Versions decide which of two records is newer, because a store that comes back from a copy contains older versions
+     * at new positions. Positions decide between records of the same version.
+     */
     fun update(record: StoredEntry): Update {
         val value = record.value
-        if (value == null || record.offset <= offset) return Update.Stale
+        if (value == null || record.position == entry?.position) return Update.Stale
         return decoder.configuration(value).fold({ Update.Invalid(it) }, { apply(record, it) })
     }
 
@@ -37,9 +43,15 @@
     fun owner(key: KeyHash): OrganisationRule? = owners[key]
 
     private fun apply(record: StoredEntry, next: RoutingConfiguration): Update {
-        if (next.version < (current?.version ?: Long.MIN_VALUE)) return Update.Stale
-        current = next
+        val inForce = current
+        if (inForce != null && next.version < inForce.version) return Update.Stale
+        val isRepeated = next.version == inForce?.version && record.value.contentEquals(entry?.value)
+        if (next.version == inForce?.version && record.position < (entry?.position ?: StorePosition.NONE)) {
+            return Update.Stale
+        }
         entry = record
+        if (isRepeated) return Update.Stale
+        current = next
         routes = RouteTable(next.routes)
         owners = next.organisations.flatMap { rule -> rule.keys.map { it to rule } }.toMap()
         return Update.Applied(next)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
@@ -5,6 +5,7 @@
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.ServiceId
 import io.anvilvalve.api.routing.StateDecoder
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 import kotlin.time.Duration
 
@@ -14,12 +15,12 @@
     private val backends = LinkedHashMap<BackendServerId, Backend>()
     private val removalDueAt = HashMap<String, Duration>()
 
-    /** Store offset up to which entries have been read, or -1 if none have. */
-    var offset: Long = -1
+    /** Position in the store up to which entries have been read, or [StorePosition.NONE]. */
+    var position: StorePosition = StorePosition.NONE
         private set
 
-    /** Store offset at which a backend server last changed, or -1; hosts that know a later offset know the change. */
-    var changedAt: Long = -1
+    /** Position at which a backend server last changed; hosts that know a later position know the change. */
+    var changedAt: StorePosition = StorePosition.NONE
         private set
 
     /** Time since entries were last read from the store or a peer; null if they have not been read. */
@@ -37,20 +38,18 @@
 
     /**
      * Applies [entries] and returns whether a backend server changed. If [complete] is set, [entries] are all entries
-     * that exist; [next] is the offset after them.
+     * that exist; [next] is the position after them.
      *
      * A removed or missing entry is kept for [grace], because its backend server may have been unable to renew it
      * during an outage of the store.
      */
-    fun apply(entries: List<StoredEntry>, complete: Boolean, next: Long, grace: Duration): Boolean {
-        if (complete && next < offset) return false
+    fun apply(entries: List<StoredEntry>, complete: Boolean, next: StorePosition, grace: Duration): Boolean {
+        if (next < position) return false
         val isFirst = readAt == null
         readAt = out.now
         var changed = false
         for (entry in entries) {
-            if (entry.offset >
-                (records[entry.key]?.offset ?: -1)
-            ) {
+            if (entry.position > (records[entry.key]?.position ?: StorePosition.NONE)) {
                 changed = put(entry, grace, isLogged = !isFirst) || changed
             }
         }
@@ -58,9 +57,9 @@
             val present = entries.mapTo(HashSet()) { it.key }
             records.keys.filter { it !in present }.forEach { changed = remove(it, grace) || changed }
         }
-        offset = maxOf(offset, next)
-        if (isFirst) out.log(LogEvent.DIRECTORY_READ, "servers" to backends.size, "offset" to offset)
-        if (changed) changedAt = offset
+        position = next
+        if (isFirst) out.log(LogEvent.DIRECTORY_READ, "servers" to backends.size, "offset" to position.offset)
+        if (changed) changedAt = position
         return changed
     }
 
@@ -70,7 +69,7 @@
         val due = removalDueAt.filterValues { it <= out.now }.keys.toList()
         due.forEach { removeNow(it) }
         // A host that took over the entries at the current offset does not know the removal.
-        if (due.isNotEmpty()) changedAt = offset + 1
+        if (due.isNotEmpty()) changedAt = position.copy(offset = position.offset + 1)
         return due.isNotEmpty()
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Placement.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Placement.kt
@@ -122,7 +122,7 @@
 
     /** Log fields with the version and age of the state that placements are based on. */
     fun stateFields(): Array<Pair<String, Any?>> = arrayOf(
-        "directory" to directory.offset,
+        "directory" to directory.position.offset,
         "directory_age_ms" to directory.age?.inWholeMilliseconds,
         "loads_age_ms" to loads.oldestReportAge?.inWholeMilliseconds,
     )
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -62,7 +62,7 @@
             sequence = sequence,
             heard = heard,
             configuration = configuration.offset,
-            directory = directory.offset,
+            directory = directory.position.offset,
             usage = quotas.usage,
             loads = loads.ownLoads,
             attempts = retries.buildReport(queues),
@@ -82,7 +82,7 @@
             number = number,
             alive = alive,
             configuration = configuration.offset,
-            directory = directory.changedAt,
+            directory = directory.changedAt.offset,
             storeAgeMillis = state.storeAge.inWholeMilliseconds,
             available = isAvailable,
             totals = if (isAvailable) buildTotals() else null,
@@ -161,7 +161,7 @@
         state.tick()
         storeReading.tick()
         state.selectStatePeer()?.let {
-            gossip.send(it.member, PeerMessage.StateRequest(configuration.offset, directory.offset))
+            gossip.send(it.member, PeerMessage.StateRequest(configuration.offset, directory.position.offset))
         }
         usageWriter.tick()
         loads.tick()
@@ -206,7 +206,7 @@
         peers.mention(message.alive)
         message.totals?.takeIf { !coordinators.isDirect && !coordinators.selfCoordinates }?.let(::useTotals)
         if (state.shouldRequest(message)) {
-            send(message.member, PeerMessage.StateRequest(configuration.offset, directory.offset))
+            send(message.member, PeerMessage.StateRequest(configuration.offset, directory.position.offset))
         }
         requests.placeAll()
     }
@@ -274,9 +274,9 @@
     private fun answerStateRequest(frame: PeerFrame, request: PeerMessage.StateRequest) {
         val peer = peers.all.firstOrNull { it.member.incarnation == frame.incarnation } ?: return
         val newer = configuration.entry?.takeIf { it.offset > request.configuration }
-        val entries = if (directory.offset > request.directory) directory.entries.toList() else emptyList()
+        val entries = if (directory.position.offset > request.directory) directory.entries.toList() else emptyList()
         if (newer == null && entries.isEmpty()) return
-        val known = if (entries.isEmpty()) -1 else directory.offset
+        val known = if (entries.isEmpty()) -1 else directory.position.offset
         gossip.send(peer.member, PeerMessage.SharedState(newer, entries, known))
     }
 
@@ -291,7 +291,7 @@
             LogEvent.READY_CHANGED,
             "ready" to ready,
             "configuration" to configuration.current?.version,
-            "directory" to directory.offset,
+            "directory" to directory.position.offset,
         )
         out.emit(RoutingEffect.ReadyChanged(ready))
         // The other hosts must not wait for answers of a host that stops.
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -11,6 +11,7 @@
 import io.anvilvalve.api.routing.StatePage
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StoreFault
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 import kotlinx.serialization.builtins.ListSerializer
 import kotlin.time.Duration
@@ -43,11 +44,12 @@
 
     private val readStatuses = StateTopic.entries.associateWith { ReadStatus() }
     private var era: Long? = null
+    private var restoredAt: Duration? = null
     private var requestedAt: Duration? = null
     private var requestedOffsets: Pair<Long, Long>? = null
 
     /** Whether this host has the state that it needs to serve. */
-    val complete: Boolean get() = configuration.current != null && directory.offset >= 0
+    val complete: Boolean get() = configuration.current != null && directory.position != StorePosition.NONE
 
     fun readCompleted(topic: StateTopic, result: Either<StoreFault, StatePage>) {
         result.fold({ markLost(topic, it) }, { applyPage(topic, it) })
@@ -56,9 +58,17 @@
     fun applyPeerState(state: PeerMessage.SharedState) {
         state.configuration?.let { applyConfiguration(it, "peer") }
         val entries = state.backends
-        if (state.directory > directory.offset) {
-            out.log(LogEvent.PEER_STATE_APPLIED, "directory" to state.directory, "before" to directory.offset)
-            if (directory.apply(entries, complete = true, state.directory, removalGrace())) sink.serversChanged()
+        if (state.directory > directory.position.offset) {
+            out.log(LogEvent.PEER_STATE_APPLIED, "directory" to state.directory, "before" to directory.position.offset)
+            if (directory.apply(
+                    entries,
+                    complete = true,
+                    StorePosition(0, state.directory),
+                    removalGrace(),
+                )
+            ) {
+                sink.serversChanged()
+            }
         }
     }
 
@@ -73,7 +83,7 @@
         if (!staleConfiguration && !staleDirectory) return null
         val known = peers.all.filter(peers::isAlive).filter { peer ->
             val last = peer.lastMessage
-            last != null && (last.configuration > configuration.offset || last.directory > directory.offset)
+            last != null && (last.configuration > configuration.offset || last.directory > directory.position.offset)
         }
         return known.maxByOrNull { it.lastMessage?.directory ?: -1 }?.also { requestedAt = out.now }
     }
@@ -81,7 +91,7 @@
     /** Whether the state that [summary] names is newer than this host's and has not just been requested. */
     fun shouldRequest(summary: FleetSummary): Boolean {
         val offsets = summary.configuration to summary.directory
-        if (offsets.first <= configuration.offset && offsets.second <= directory.offset) return false
+        if (offsets.first <= configuration.offset && offsets.second <= directory.position.offset) return false
         val isRepeated = requestedOffsets == offsets && requestedAt?.let { out.now - it < REQUEST_TIMEOUT } == true
         if (isRepeated) return false
         requestedOffsets = offsets
@@ -103,16 +113,10 @@
         when (topic) {
             StateTopic.CONFIGURATION -> page.entries.forEach { applyConfiguration(it, "store") }
 
-            StateTopic.DIRECTORY ->
-                if (directory.apply(
-                        page.entries,
-                        page.complete,
-                        page.next.offset,
-                        removalGrace(),
-                    )
-                ) {
-                    sink.serversChanged()
-                }
+            StateTopic.DIRECTORY -> {
+                val changed = directory.apply(page.entries, page.complete, page.next, removalGrace())
+                if (changed) sink.serversChanged()
+            }
 
             StateTopic.HOSTS -> applyHosts(page.entries)
 
@@ -125,6 +129,7 @@
         if (before != null && page.next.era <= before) return
         era = page.next.era
         if (before == null) return
+        restoredAt = out.now
         out.log(
             LogEvent.STORE_RESTORED,
             "era" to page.next.era,
@@ -133,7 +138,7 @@
             "end" to page.next.offset,
             "configuration" to configuration.current?.version,
             "configuration_offset" to configuration.offset,
-            "directory" to directory.offset,
+            "directory" to directory.position.offset,
         )
     }
 
@@ -201,10 +206,14 @@
     private fun readAge(topic: StateTopic): Duration =
         readStatuses.getValue(topic).readAt?.let { out.now - it } ?: Duration.INFINITE
 
-    /** Just after an outage of the store, entries may be missing that their servers are about to register again. */
+    /**
+     * Just after an outage or a restore of the store, entries may be missing that their servers are about to register
+     * again.
+     */
     private fun removalGrace(): Duration {
-        val regainedAt = readStatuses.getValue(StateTopic.DIRECTORY).regainedAt ?: return Duration.ZERO
-        return (regainedAt + RoutingTimes.REGISTRATION_GRACE - out.now).coerceAtLeast(Duration.ZERO)
+        val since = listOfNotNull(readStatuses.getValue(StateTopic.DIRECTORY).regainedAt, restoredAt).maxOrNull()
+        return since?.let { (it + RoutingTimes.REGISTRATION_GRACE - out.now).coerceAtLeast(Duration.ZERO) }
+            ?: Duration.ZERO
     }
 
     private companion object {
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
@@ -129,6 +129,7 @@
 ) {
     private val reducer = RoutingReducer(self, decoder, settings, seed = 7)
     private var offset = 0L
+    private var era = 0L
     private var last = 0
 
     /** Effects of all events so far. */
@@ -140,10 +141,16 @@
         read(StateTopic.DIRECTORY, backends.map { entry(it.id.value, it) })
     }
 
-    fun entry(key: String, value: Any?) = StoredEntry(key, offset++, value?.let(decoder::encode))
+    fun entry(key: String, value: Any?) = StoredEntry(key, offset++, value?.let(decoder::encode), era)
+
+    /** Brings the store back from a copy in which the last [lost] records are missing. */
+    fun restoreStore(lost: Int) {
+        era++
+        offset -= lost
+    }
 
     fun read(topic: StateTopic, entries: List<StoredEntry>, complete: Boolean = true): List<RoutingEffect> =
-        send(RoutingEvent.StateRead(topic, StatePage(entries, StorePosition(0, offset), complete).right()))
+        send(RoutingEvent.StateRead(topic, StatePage(entries, StorePosition(era, offset), complete).right()))
 
     fun failStoreReads() = StateTopic.entries.forEach { send(RoutingEvent.StateRead(it, StoreFault("down").left())) }
 
