Compare the state of hosts by version and era, not by offsets of the store

Hosts told each other the offsets of their configuration and directory. After the store had come back from a copy, a host with the state of before counted as newer than one with the state of after: hosts that could not read the store asked the wrong one, refused what was newer, and were sent nothing. A host that started after the return and read an older version from the copy kept it although its peers had the newer one in force.

Cause: an offset was taken for a position by itself.

Messages now name the version of the configuration and the era of the directory. A host that has read the store and still lacks a version that a peer knows asks that peer. The numbers of the fields stay; a host of an earlier build, which sends an offset in place of the version, causes at most a request for state that changes nothing.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/FleetSummary.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/FleetSummary.kt
@@ -2,6 +2,7 @@
 
 import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.routing.StorePosition
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -12,8 +13,8 @@
  *
  * @property number number of the message; incremented by one per message.
  * @property alive hash codes of the incarnations from which the sender recently received reports.
- * @property configuration store offset of the sender's configuration, or -1.
- * @property directory store offset at which the backend servers last changed, or -1.
+ * @property configuration version of the sender's configuration, or -1.
+ * @property directory store offset at which the backend servers last changed, or -1; of the era [era].
  * @property storeAgeMillis time since the sender last read both from the store, in milliseconds.
  * @property available whether the sender places requests for other hosts.
  * @property totals sums over all hosts; null from a coordinator to which too few hosts report.
@@ -30,7 +31,10 @@
     @CborLabel(6) val storeAgeMillis: Long,
     @CborLabel(7) val available: Boolean,
     @CborLabel(8) val totals: Totals? = null,
+    @CborLabel(9) val era: Long = 0,
 ) : PeerMessage {
+    val directoryPosition: StorePosition get() = StorePosition(era, directory)
+
     /**
      * Sums over all hosts that report to the sender.
      *
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
@@ -9,6 +9,7 @@
 import io.anvilvalve.api.id.TransferId
 import io.anvilvalve.api.log.Claim
 import io.anvilvalve.api.log.Member
+import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
@@ -149,11 +150,11 @@
      * @property member the sender, so that hosts discover each other without the store.
      * @property sequence number of the message; incremented by one per message.
      * @property heard incarnations from which the sender recently received messages.
-     * @property configuration store offset of the sender's configuration, or -1.
+     * @property configuration version of the sender's configuration, or -1.
      * @property unreachable backend servers to which the sender recently could not connect.
      * @property settled whether the sender knows the admissions of a complete quota window.
      * @property changing engines that are changing their stage and accept no work.
-     * @property directory store offset up to which the sender knows the backend servers, or -1.
+     * @property directory store offset up to which the sender knows the backend servers, or -1; of the era [era].
      * @property outcomes calls to backend servers that ended since the previous message.
      * @property grants grants of coordinators that [loads] includes.
      * @property isReport whether the sender sends this message to the coordinators only.
@@ -179,19 +180,36 @@
         @CborLabel(14) val isReport: Boolean = false,
         @CborLabel(18) val ready: Boolean = true,
         @CborLabel(19) val drainMillis: Int? = null,
-    ) : PeerMessage
+        @CborLabel(20) val era: Long = 0,
+    ) : PeerMessage {
+        val directoryPosition: StorePosition get() = StorePosition(era, directory)
+    }
 
-    /** Asks for entries of the store that are newer than the offsets that the sender knows. */
+    /**
+     * Asks for state that is newer than what the sender knows.
+     *
+     * @property configuration version of the sender's configuration, or -1.
+     * @property directory store offset up to which the sender knows the backend servers, or -1; of the era [era].
+     */
     @Serializable
     @SerialName("sq")
-    data class StateRequest(@CborLabel(1) val configuration: Long, @CborLabel(2) val directory: Long) : PeerMessage
+    data class StateRequest(
+        @CborLabel(1) val configuration: Long,
+        @CborLabel(2) val directory: Long,
+        @CborLabel(3) val era: Long = 0,
+    ) : PeerMessage {
+        val directoryPosition: StorePosition get() = StorePosition(era, directory)
+    }
 
-    /** Forwards entries of the store; [directory] is the offset up to which [backends] is complete. */
+    /** Forwards entries of the store; [directory] is the offset in the era [era] up to which [backends] is complete. */
     @Serializable
     @SerialName("sa")
     class SharedState(
         @CborLabel(1) val configuration: StoredEntry?,
         @CborLabel(2) val backends: List<StoredEntry>,
         @CborLabel(3) val directory: Long,
-    ) : PeerMessage
+        @CborLabel(4) val era: Long = 0,
+    ) : PeerMessage {
+        val directoryPosition: StorePosition get() = StorePosition(era, directory)
+    }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
@@ -7,7 +7,6 @@
 import io.anvilvalve.api.routing.ServiceId
 import io.anvilvalve.api.routing.ServiceSpec
 import io.anvilvalve.api.routing.StateDecoder
-import io.anvilvalve.api.routing.StorePosition
 import io.anvilvalve.api.routing.StoredEntry
 
 /** The configuration in force. An older version never replaces a newer one. */
@@ -22,7 +21,8 @@
     var entry: StoredEntry? = null
         private set
 
-    val offset: Long get() = entry?.offset ?: -1
+    /** Version in force, or -1. */
+    val version: Long get() = current?.version ?: -1
 
     /**
      * Applies [record] unless it is older than the one in force or cannot be decoded.
@@ -43,12 +43,10 @@
     fun owner(key: KeyHash): OrganisationRule? = owners[key]
 
     private fun apply(record: StoredEntry, next: RoutingConfiguration): Update {
-        val inForce = current
-        if (inForce != null && next.version < inForce.version) return Update.Stale
-        val isRepeated = next.version == inForce?.version && record.value.contentEquals(entry?.value)
-        if (next.version == inForce?.version && record.position < (entry?.position ?: StorePosition.NONE)) {
-            return Update.Stale
-        }
+        if (next.version < version) return Update.Stale
+        val last = entry?.takeIf { next.version == version }
+        if (last != null && record.position < last.position) return Update.Stale
+        val isRepeated = last != null && record.value.contentEquals(last.value)
         entry = record
         if (isRepeated) return Update.Stale
         current = next
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -61,8 +61,9 @@
             member = self,
             sequence = sequence,
             heard = heard,
-            configuration = configuration.offset,
+            configuration = configuration.version,
             directory = directory.position.offset,
+            era = directory.position.era,
             usage = quotas.usage,
             loads = loads.ownLoads,
             attempts = retries.buildReport(queues),
@@ -81,8 +82,9 @@
             member = self,
             number = number,
             alive = alive,
-            configuration = configuration.offset,
+            configuration = configuration.version,
             directory = directory.changedAt.offset,
+            era = directory.changedAt.era,
             storeAgeMillis = state.storeAge.inWholeMilliseconds,
             available = isAvailable,
             totals = if (isAvailable) buildTotals() else null,
@@ -161,7 +163,7 @@
         state.tick()
         storeReading.tick()
         state.selectStatePeer()?.let {
-            gossip.send(it.member, PeerMessage.StateRequest(configuration.offset, directory.position.offset))
+            gossip.send(it.member, state.request())
         }
         usageWriter.tick()
         loads.tick()
@@ -206,7 +208,7 @@
         peers.mention(message.alive)
         message.totals?.takeIf { !coordinators.isDirect && !coordinators.selfCoordinates }?.let(::useTotals)
         if (state.shouldRequest(message)) {
-            send(message.member, PeerMessage.StateRequest(configuration.offset, directory.position.offset))
+            send(message.member, state.request())
         }
         requests.placeAll()
     }
@@ -273,11 +275,7 @@
 
     private fun answerStateRequest(frame: PeerFrame, request: PeerMessage.StateRequest) {
         val peer = peers.all.firstOrNull { it.member.incarnation == frame.incarnation } ?: return
-        val newer = configuration.entry?.takeIf { it.offset > request.configuration }
-        val entries = if (directory.position.offset > request.directory) directory.entries.toList() else emptyList()
-        if (newer == null && entries.isEmpty()) return
-        val known = if (entries.isEmpty()) -1 else directory.position.offset
-        gossip.send(peer.member, PeerMessage.SharedState(newer, entries, known))
+        state.answer(request)?.let { gossip.send(peer.member, it) }
     }
 
     /** Whether this host places the requests of the fleet. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -42,11 +42,17 @@
         var regainedAt: Duration? = null
     }
 
+    /** State that a message of another host names. */
+    private data class NamedState(val configuration: Long, val directory: StorePosition)
+
     private val readStatuses = StateTopic.entries.associateWith { ReadStatus() }
     private var era: Long? = null
     private var restoredAt: Duration? = null
+
+    /** Time since when a peer has had a newer version of the configuration; null if none has. */
+    private var behindSince: Duration? = null
     private var requestedAt: Duration? = null
-    private var requestedOffsets: Pair<Long, Long>? = null
+    private var requested: NamedState? = null
 
     /** Whether this host has the state that it needs to serve. */
     val complete: Boolean get() = configuration.current != null && directory.position != StorePosition.NONE
@@ -55,46 +61,63 @@
         result.fold({ markLost(topic, it) }, { applyPage(topic, it) })
     }
 
+    /** Asks a peer for what is newer than the state of this host. */
+    fun request() = PeerMessage.StateRequest(configuration.version, directory.position.offset, directory.position.era)
+
+    /** State that the sender of [request] does not know; null if there is none. */
+    fun answer(request: PeerMessage.StateRequest): PeerMessage.SharedState? {
+        val newer = configuration.entry?.takeIf { configuration.version > request.configuration }
+        if (directory.position > request.directoryPosition && directory.entries.isNotEmpty()) {
+            val (era, offset) = directory.position
+            return PeerMessage.SharedState(newer, directory.entries.toList(), offset, era)
+        }
+        return newer?.let { PeerMessage.SharedState(it, emptyList(), directory = -1) }
+    }
+
     fun applyPeerState(state: PeerMessage.SharedState) {
         state.configuration?.let { applyConfiguration(it, "peer") }
-        val entries = state.backends
-        if (state.directory > directory.position.offset) {
-            out.log(LogEvent.PEER_STATE_APPLIED, "directory" to state.directory, "before" to directory.position.offset)
-            if (directory.apply(
-                    entries,
-                    complete = true,
-                    StorePosition(0, state.directory),
-                    removalGrace(),
-                )
-            ) {
-                sink.serversChanged()
-            }
-        }
+        val position = state.directoryPosition
+        if (position <= directory.position) return
+        out.log(LogEvent.PEER_STATE_APPLIED, "directory" to position, "before" to directory.position)
+        noteEra(position.era)
+        if (directory.apply(state.backends, complete = true, position, removalGrace())) sink.serversChanged()
     }
 
     /**
-     * Selects a peer with newer state to request it from while the store cannot be read; null if there is none or a
-     * request was made recently.
+     * Selects a peer with newer state to request it from, while the store does not answer this host or lacks a version
+     * that a peer knows; null if there is none or a request was made recently.
      */
     fun selectStatePeer(): Peers.Peer? {
+        val alive = peers.all.filter(peers::isAlive)
+        noteVersionOf(alive)
         if (requestedAt?.let { out.now - it < RoutingTimes.STATE_REQUEST_INTERVAL } == true) return null
-        val staleConfiguration = isStale(StateTopic.CONFIGURATION)
-        val staleDirectory = isStale(StateTopic.DIRECTORY)
-        if (!staleConfiguration && !staleDirectory) return null
-        val known = peers.all.filter(peers::isAlive).filter { peer ->
-            val last = peer.lastMessage
-            last != null && (last.configuration > configuration.offset || last.directory > directory.position.offset)
-        }
-        return known.maxByOrNull { it.lastMessage?.directory ?: -1 }?.also { requestedAt = out.now }
+        return alive.filter(::hasMissingState)
+            .maxByOrNull { it.lastMessage?.directoryPosition ?: StorePosition.NONE }
+            ?.also { requestedAt = out.now }
+    }
+
+    private fun noteVersionOf(alive: List<Peers.Peer>) {
+        if (alive.any(::hasNewerVersion)) behindSince = behindSince ?: out.now else behindSince = null
+    }
+
+    private fun hasNewerVersion(peer: Peers.Peer) =
+        peer.lastMessage?.let { it.configuration > configuration.version } == true
+
+    private fun hasMissingState(peer: Peers.Peer): Boolean {
+        val isReadUseless = behindSince?.let { it < (readStatuses.getValue(StateTopic.CONFIGURATION).readAt ?: it) }
+        if (isReadUseless == true && hasNewerVersion(peer)) return true
+        if (!isStale(StateTopic.CONFIGURATION) && !isStale(StateTopic.DIRECTORY)) return false
+        val position = peer.lastMessage?.directoryPosition ?: return false
+        return hasNewerVersion(peer) || position > directory.position
     }
 
     /** Whether the state that [summary] names is newer than this host's and has not just been requested. */
     fun shouldRequest(summary: FleetSummary): Boolean {
-        val offsets = summary.configuration to summary.directory
-        if (offsets.first <= configuration.offset && offsets.second <= directory.position.offset) return false
-        val isRepeated = requestedOffsets == offsets && requestedAt?.let { out.now - it < REQUEST_TIMEOUT } == true
+        val named = NamedState(summary.configuration, summary.directoryPosition)
+        if (named.configuration <= configuration.version && named.directory <= directory.position) return false
+        val isRepeated = requested == named && requestedAt?.let { out.now - it < REQUEST_TIMEOUT } == true
         if (isRepeated) return false
-        requestedOffsets = offsets
+        requested = named
         requestedAt = out.now
         return true
     }
@@ -109,7 +132,7 @@
 
     private fun applyPage(topic: StateTopic, page: StatePage) {
         markRegained(topic)
-        noteEra(topic, page)
+        noteEra(page.next.era)
         when (topic) {
             StateTopic.CONFIGURATION -> page.entries.forEach { applyConfiguration(it, "store") }
 
@@ -124,21 +147,20 @@
         }
     }
 
-    private fun noteEra(topic: StateTopic, page: StatePage) {
+    /** Records that the store was seen in [next]. */
+    private fun noteEra(next: Long) {
         val before = era
-        if (before != null && page.next.era <= before) return
-        era = page.next.era
+        if (before != null && next <= before) return
+        era = next
         if (before == null) return
         restoredAt = out.now
         out.log(
             LogEvent.STORE_RESTORED,
-            "era" to page.next.era,
+            "era" to next,
             "before" to before,
-            "topic" to topic,
-            "end" to page.next.offset,
             "configuration" to configuration.current?.version,
-            "configuration_offset" to configuration.offset,
-            "directory" to directory.position.offset,
+            "configuration_position" to configuration.entry?.position,
+            "directory" to directory.position,
         )
     }
 
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
@@ -1,8 +1,11 @@
 package io.anvilvalve.rules.routing
 
+import io.anvilvalve.api.peer.FleetSummary
+import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StateTopic
+import io.anvilvalve.api.routing.StorePosition
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -66,4 +69,98 @@
             host.advance(2_300.milliseconds)
             host.arrive("/drawers/2").effects.none<RoutingEffect.Forward>() shouldBe true
         }
+
+        val peer = member("h2")
+
+        fun gossip(sequence: Long, configuration: Long, directory: Long, era: Long) = PeerMessage.Gossip(
+            peer,
+            sequence,
+            heard = emptyList(),
+            configuration,
+            directory,
+            usage = emptyList(),
+            loads = emptyList(),
+            attempts = emptyList(),
+            era = era,
+        )
+
+        fun List<RoutingEffect>.sent() = filterIsInstance<RoutingEffect.SendFrame>().map { it.frame.message }
+
+        class Told(
+            val name: String,
+            val configuration: Long,
+            val directory: Long,
+            val era: Long,
+            val readsStore: Boolean,
+            val isAsked: Boolean,
+        )
+
+        listOf(
+            Told("of after a restore", 1, 2, era = 1, readsStore = false, isAsked = true),
+            Told("of before a restore that the store knows", 1, 900, era = 0, readsStore = false, isAsked = false),
+            Told("with a version that the copy lacks", 9, 900, era = 0, readsStore = true, isAsked = true),
+            Told("that the store also has", 1, 900, era = 0, readsStore = true, isAsked = false),
+        ).forEach { case ->
+            val source = if (case.readsStore) "reads the store" else "cannot read the store"
+            test("a host that $source ${if (case.isAsked) "asks" else "does not ask"} for state ${case.name}") {
+                val host = RoutingFixture()
+                if (case.era == 0L) {
+                    host.restoreStore(lost = 1)
+                    host.publish(version(1), complete = true)
+                    host.read(StateTopic.DIRECTORY, emptyList())
+                }
+                val requests = (1L..10L).flatMap { sequence ->
+                    host.receive(peer, gossip(sequence, case.configuration, case.directory, case.era))
+                    if (case.readsStore) {
+                        listOf(StateTopic.CONFIGURATION, StateTopic.DIRECTORY).forEach {
+                            host.read(it, emptyList(), complete = false)
+                        }
+                    }
+                    host.advance(300.milliseconds)
+                }.sent().filterIsInstance<PeerMessage.StateRequest>()
+                requests.isNotEmpty() shouldBe case.isAsked
+            }
+        }
+
+        test("a coordinator's summary of after a restore is newer than all state of before") {
+            val host = RoutingFixture()
+            fun summary(number: Long, directory: Long, era: Long) = FleetSummary(
+                peer,
+                number,
+                alive = emptyList(),
+                configuration = 1,
+                directory = directory,
+                storeAgeMillis = 0,
+                available = false,
+                era = era,
+            )
+            host.receive(peer, summary(1, directory = 0, era = 0)).sent().any {
+                it is PeerMessage.StateRequest
+            } shouldBe
+                false
+            host.receive(peer, summary(2, directory = 1, era = 1)).sent().any {
+                it is PeerMessage.StateRequest
+            } shouldBe
+                true
+        }
+
+        test("a host takes a directory of after a restore from a peer and refuses one of before") {
+            val host = RoutingFixture(backends = listOf(plain("p1")))
+            host.restoreStore(lost = 2)
+            val p2 = host.entry("p2", plain("p2"))
+            val after = PeerMessage.SharedState(null, listOf(p2), directory = 2, era = 1)
+            host.receive(peer, after)
+            host.receive(peer, PeerMessage.SharedState(null, emptyList(), directory = 900, era = 0))
+            host.advance(2_300.milliseconds)
+            host.arrive("/drawers/1").forward.server.id.value shouldBe "p2"
+        }
+
+        test("a host sends the state of after a restore to a peer that knows higher offsets of before") {
+            val host = RoutingFixture()
+            host.restoreStore(lost = 3)
+            host.read(StateTopic.DIRECTORY, listOf(host.entry("p1", plain("p1"))))
+            host.receive(peer, gossip(1, configuration = 1, directory = 900, era = 0))
+            val state = host.receive(peer, PeerMessage.StateRequest(configuration = 1, directory = 900, era = 0)).sent()
+            state.filterIsInstance<PeerMessage.SharedState>().single().directoryPosition shouldBe StorePosition(1, 1)
+        }
     })
