Keep fencing tokens rising when the store comes back from a copy

A token acquired after the restore could equal or be lower than one that engines had seen, so that two holders had the same token or engines refused all orders.

Cause: a token was an offset, and offsets are given out again.

A token is now a position with the era of the store.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateStore.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateStore.kt
@@ -12,10 +12,10 @@
     fun read(topic: StateTopic, from: StorePosition, wait: Duration): Either<StoreFault, StatePage>
 
     /** Acquires a fencing token for [holder] that is higher than all earlier ones. */
-    fun acquireFencingToken(holder: String): Either<StoreFault, Long>
+    fun acquireFencingToken(holder: String): Either<StoreFault, FencingToken>
 
-    /** Whether [fence] is the highest fencing token acquired so far. */
-    fun isNewestFencingToken(fence: Long): Either<StoreFault, Boolean>
+    /** Whether [token] is the highest fencing token acquired so far. */
+    fun isNewestFencingToken(token: FencingToken): Either<StoreFault, Boolean>
 
     /** Replaces the value of [key] in [topic]; after a fault the value may or may not have been written. */
     fun put(topic: StateTopic, key: String, value: ByteArray): Either<StoreFault, Unit>
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/OrderSender.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/OrderSender.kt
@@ -45,7 +45,7 @@
         val acceptedOrders = dialect.orderCount(report.body).fold({ return OrderOutcome.REFUSED }, { it })
         val newest = store.isNewestFencingToken(order.fence).fold({ return OrderOutcome.REFUSED }, { it })
         if (!newest) return OrderOutcome.FENCE_LOST
-        val body = dialect.stageOrder(StageOrder(order.stage, holder, order.fence, acceptedOrders))
+        val body = dialect.stageOrder(StageOrder(order.stage, holder, order.fence.number, acceptedOrders))
         val request = request(order.server, dialect.orderPath).post(body.toRequestBody(null))
             .header("Content-Type", "application/json")
             .build()
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/StateWriterSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/StateWriterSpec.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.routing.FencingToken
 import io.anvilvalve.api.routing.StatePage
 import io.anvilvalve.api.routing.StateStore
 import io.anvilvalve.api.routing.StateTopic
@@ -32,9 +33,9 @@
     override fun read(topic: StateTopic, from: StorePosition, wait: Duration): Either<StoreFault, StatePage> =
         error("not called")
 
-    override fun acquireFencingToken(holder: String): Either<StoreFault, Long> = error("not called")
+    override fun acquireFencingToken(holder: String): Either<StoreFault, FencingToken> = error("not called")
 
-    override fun isNewestFencingToken(fence: Long): Either<StoreFault, Boolean> = error("not called")
+    override fun isNewestFencingToken(token: FencingToken): Either<StoreFault, Boolean> = error("not called")
 }
 
 /** Guards against a queue of writes that grows while the store is slow, and against faults that are not logged. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/OrderDispatcher.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/OrderDispatcher.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.rules.routing
 
 import io.anvilvalve.api.result.LogEvent
+import io.anvilvalve.api.routing.FencingToken
 import io.anvilvalve.api.routing.ServiceSpec
 import kotlin.time.Duration
 
@@ -15,11 +16,11 @@
     private val configuration: ConfigurationState,
     private val settings: RoutingSettings,
 ) {
-    private class FencingToken(val number: Long, val usableAt: Duration)
+    private class HeldToken(val token: FencingToken, val usableAt: Duration)
 
     private class Order(val change: StageChange, val service: ServiceSpec)
 
-    private var token: FencingToken? = null
+    private var held: HeldToken? = null
     private var busy = false
     private var pausedUntil = Duration.ZERO
     private var pending: Order? = null
@@ -28,11 +29,11 @@
         balance.tick()
         if (busy || out.now < pausedUntil) return
         if (!peers.isLeader) {
-            token = null
+            held = null
             return
         }
         val order = nextOrder() ?: return
-        val held = token
+        val held = held
         if (held == null) {
             busy = true
             out.emit(RoutingEffect.AcquireFencingToken)
@@ -41,16 +42,16 @@
         }
     }
 
-    /** A fencing token was acquired; [number] is null if the store did not answer. */
-    fun fencingTokenAcquired(number: Long?) {
+    /** A fencing token was acquired; [token] is null if the store did not answer. */
+    fun fencingTokenAcquired(token: FencingToken?) {
         busy = false
-        if (number == null) {
+        if (token == null) {
             pause()
             return
         }
         // The previous holder may still send orders that it has decided on, until its lease has expired.
-        token = FencingToken(number, out.now + settings.orderLease)
-        out.log(LogEvent.FENCE_TAKEN, "fence" to number)
+        held = HeldToken(token, out.now + settings.orderLease)
+        out.log(LogEvent.FENCE_TAKEN, "fence" to token)
     }
 
     fun orderEnded(outcome: OrderOutcome) {
@@ -62,7 +63,7 @@
             "server" to order.change.server.id,
             "stage" to order.change.stage,
             "outcome" to outcome,
-            "fence" to token?.number,
+            "fence" to held?.token,
         )
         when (outcome) {
             OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN ->
@@ -70,15 +71,15 @@
 
             OrderOutcome.REFUSED -> Unit
 
-            OrderOutcome.FENCE_LOST -> token = null
+            OrderOutcome.FENCE_LOST -> held = null
         }
         if (outcome != OrderOutcome.ACCEPTED) pause()
     }
 
-    private fun send(order: Order, held: FencingToken) {
+    private fun send(order: Order, held: HeldToken) {
         busy = true
         pending = order
-        out.emit(RoutingEffect.SendOrder(order.change.server, order.change.stage, held.number))
+        out.emit(RoutingEffect.SendOrder(order.change.server, order.change.stage, held.token))
     }
 
     private fun nextOrder(): Order? = configuration.current?.services?.values?.firstNotNullOfOrNull { service ->
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
@@ -7,6 +7,7 @@
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.api.routing.Backend
+import io.anvilvalve.api.routing.FencingToken
 import io.anvilvalve.api.routing.IngressLimits
 import io.anvilvalve.api.routing.Stage
 import io.anvilvalve.api.routing.StateTopic
@@ -82,7 +83,7 @@
     class PutState(val topic: StateTopic, val key: String, val value: ByteArray) : RoutingEffect
 
     /** Orders [server] to change to [stage], unless a newer fencing token than [fence] has been acquired. */
-    data class SendOrder(val server: Backend, val stage: Stage, val fence: Long) : RoutingEffect
+    data class SendOrder(val server: Backend, val stage: Stage, val fence: FencingToken) : RoutingEffect
 
     /**
      * Starts or stops following changes in the store; reads for a new configuration wait up to [wait]. A start reads
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEvent.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import io.anvilvalve.api.id.RequestId
 import io.anvilvalve.api.peer.PeerFrame
+import io.anvilvalve.api.routing.FencingToken
 import io.anvilvalve.api.routing.StatePage
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StoreFault
@@ -37,8 +38,8 @@
     /** A peer sent a message. */
     data class FrameReceived(val frame: PeerFrame) : RoutingEvent
 
-    /** A fencing token was acquired; [number] is null if the store did not answer. */
-    data class FencingTokenAcquired(val number: Long?) : RoutingEvent
+    /** A fencing token was acquired; [token] is null if the store did not answer. */
+    data class FencingTokenAcquired(val token: FencingToken?) : RoutingEvent
 
     /** The outstanding order completed or failed. */
     data class OrderEnded(val outcome: OrderOutcome) : RoutingEvent
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -135,7 +135,7 @@
 
             is RoutingEvent.FrameReceived -> handleFrame(event.frame)
 
-            is RoutingEvent.FencingTokenAcquired -> orders.fencingTokenAcquired(event.number)
+            is RoutingEvent.FencingTokenAcquired -> orders.fencingTokenAcquired(event.token)
 
             is RoutingEvent.OrderEnded -> orders.orderEnded(event.outcome)
 
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/OrderDispatcherSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/OrderDispatcherSpec.kt
@@ -1,7 +1,9 @@
 package io.anvilvalve.rules.routing
 
 import io.anvilvalve.api.peer.PeerMessage
+import io.anvilvalve.api.routing.FencingToken
 import io.anvilvalve.api.routing.Stage
+import io.anvilvalve.api.routing.StorePosition
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.booleans.shouldBeFalse
 import io.kotest.matchers.booleans.shouldBeTrue
@@ -18,6 +20,8 @@
     FunSpec({
         val unevenSplit = (1..4).map { engine("p$it", Stage.PREFILL) } + (1..2).map { engine("d$it", Stage.DECODE) }
 
+        val token = FencingToken(StorePosition(era = 0, offset = 5))
+
         fun RoutingFixture.receiveGossip(host: String, sequence: Long) = receive(
             member(host),
             PeerMessage.Gossip(
@@ -38,11 +42,11 @@
             val host = RoutingFixture(backends = unevenSplit)
             host.advance(3.seconds).only<RoutingEffect.AcquireFencingToken>()
             val acquiredAt = host.now
-            host.send(RoutingEvent.FencingTokenAcquired(5))
+            host.send(RoutingEvent.FencingTokenAcquired(token))
             val order = generateSequence { host.advance(25.milliseconds).filterIsInstance<RoutingEffect.SendOrder>() }
                 .first { it.isNotEmpty() }.single()
             host.now - acquiredAt shouldBeGreaterThanOrEqualTo 3_500.milliseconds
-            order.fence shouldBe 5
+            order.fence shouldBe token
             order.stage shouldBe Stage.DECODE
             host.send(RoutingEvent.OrderEnded(OrderOutcome.ACCEPTED))
             val next = host.advance(1.seconds).filterIsInstance<RoutingEffect.SendOrder>()
@@ -52,7 +56,7 @@
         test("an engine that is changing its stage gets no work") {
             val host = RoutingFixture(backends = unevenSplit)
             host.advance(3.seconds)
-            host.send(RoutingEvent.FencingTokenAcquired(5))
+            host.send(RoutingEvent.FencingTokenAcquired(token))
             val order = host.advance(4.seconds).only<RoutingEffect.SendOrder>()
             host.send(RoutingEvent.OrderEnded(OrderOutcome.ACCEPTED))
             val used = (1..8).map {
@@ -86,7 +90,7 @@
         test("after another host acquires a newer fencing token, the old one is not used again") {
             val host = RoutingFixture(backends = unevenSplit)
             host.advance(3.seconds)
-            host.send(RoutingEvent.FencingTokenAcquired(5))
+            host.send(RoutingEvent.FencingTokenAcquired(token))
             host.advance(4.seconds).only<RoutingEffect.SendOrder>()
             host.send(RoutingEvent.OrderEnded(OrderOutcome.FENCE_LOST))
             val later = host.advance(8.seconds)
