Write a host's entry again if a restored store has lost it

A host that started in the seconds that a restored store has lost was missing in the list of hosts. Hosts that started later did not find it there, and without any peer that knew it they counted it neither in quotas nor in queues.

Cause: a host wrote its entry once per start, and nothing read it back.

After a restore every host reads the list of hosts. A host that finds no entry of its own start there, in this read or in any other, writes it again and retries until the store has taken it.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -183,6 +183,7 @@
             is RoutingEffect.PutState -> writer.put(effect)
             is RoutingEffect.FollowStore -> reader.follow(effect.active, effect.wait)
             RoutingEffect.ReadHosts -> reader.readHosts()
+            RoutingEffect.AnnounceHost -> reader.announceHost()
             is RoutingEffect.Log -> events.write(effect.event, effect.fields)
             is RoutingEffect.Measure -> metrics.record(effect.summary)
             RoutingEffect.Exit -> exit.complete(Unit)
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/StateReader.kt
@@ -33,7 +33,7 @@
     )
     private val lock = ReentrantLock()
     private val followingChanged = lock.newCondition()
-    private val hostReads = LinkedBlockingQueue<Unit>()
+    private val hostCalls = LinkedBlockingQueue<HostCall>()
     private var following = true
 
     @Volatile
@@ -55,7 +55,12 @@
 
     /** Reads the list of hosts again, unless a read is outstanding. */
     fun readHosts() {
-        if (hostReads.isEmpty()) hostReads.add(Unit)
+        if (hostCalls.isEmpty()) hostCalls.add(HostCall.READ)
+    }
+
+    /** Writes this host's own entry again, and reads the list of hosts. */
+    fun announceHost() {
+        if (HostCall.ANNOUNCE !in hostCalls) hostCalls.add(HostCall.ANNOUNCE)
     }
 
     override fun close() = threads.forEach(Thread::interrupt)
@@ -98,7 +103,7 @@
         retry { announce() }
         retry { store.newest(StateTopic.HOSTS).onRight { post(hostsRead(it)) } }
         while (true) {
-            hostReads.take()
+            if (hostCalls.take() == HostCall.ANNOUNCE) retry { announce() }
             store.newest(StateTopic.HOSTS).onRight { post(hostsRead(it)) }
         }
     }
@@ -132,6 +137,11 @@
         Thread.currentThread().interrupt()
     }
 
+    private enum class HostCall {
+        READ,
+        ANNOUNCE,
+    }
+
     private companion object {
         /**
          * Departures of backend servers must be known within 2 s.
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingEffect.kt
@@ -94,6 +94,9 @@
     /** Reads the list of hosts from the store. */
     data object ReadHosts : RoutingEffect
 
+    /** Writes this host's entry to the store, and reads the list of hosts again. */
+    data object AnnounceHost : RoutingEffect
+
     /** Writes a log line. */
     data class Log(val event: LogEvent, val fields: Map<String, String>) : RoutingEffect
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -307,6 +307,8 @@
 
         override fun usageRead(usage: List<RecordedUsage>) = quotas.restore(usage)
 
+        override fun storeRestored() = out.emit(RoutingEffect.ReadHosts)
+
         override fun serversChanged() {
             placement.retainKnownServers()
             summaries.sendWithin(Duration.ZERO)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -34,6 +34,9 @@
         fun serversChanged()
 
         fun usageRead(usage: List<RecordedUsage>)
+
+        /** The store came back from an older copy. */
+        fun storeRestored()
     }
 
     private class ReadStatus {
@@ -141,7 +144,7 @@
                 if (changed) sink.serversChanged()
             }
 
-            StateTopic.HOSTS -> applyHosts(page.entries)
+            StateTopic.HOSTS -> applyHosts(page)
 
             StateTopic.USAGE -> page.entries.forEach(::applyUsage)
         }
@@ -162,6 +165,7 @@
             "configuration_position" to configuration.entry?.position,
             "directory" to directory.position,
         )
+        sink.storeRestored()
     }
 
     private fun applyConfiguration(entry: StoredEntry, source: String) {
@@ -186,8 +190,12 @@
     }
 
     /** Logs one line for all hosts, because at a start every host reads the entries of the whole fleet. */
-    private fun applyHosts(entries: List<StoredEntry>) {
-        val joined = entries.mapNotNull(::decodeMember).filter(peers::register)
+    private fun applyHosts(page: StatePage) {
+        val members = page.entries.mapNotNull(::decodeMember)
+        if (page.complete && members.none { it.incarnation == peers.self.incarnation }) {
+            out.emit(RoutingEffect.AnnounceHost)
+        }
+        val joined = members.filter(peers::register)
         if (joined.isEmpty()) return
         val names = joined.take(MAX_LOGGED_MEMBERS).joinToString { it.incarnation.value }
         out.log(LogEvent.MEMBER_JOINED, "members" to joined.size, "first" to names, "from" to "store")
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
@@ -1,11 +1,14 @@
 package io.anvilvalve.rules.routing
 
+import io.anvilvalve.api.BinaryCodec
+import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.peer.FleetSummary
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StateTopic
 import io.anvilvalve.api.routing.StorePosition
+import io.anvilvalve.api.routing.StoredEntry
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -163,4 +166,25 @@
             val state = host.receive(peer, PeerMessage.StateRequest(configuration = 1, directory = 900, era = 0)).sent()
             state.filterIsInstance<PeerMessage.SharedState>().single().directoryPosition shouldBe StorePosition(1, 1)
         }
+
+        test("a host writes its entry again if the copy lacks it or has one of an earlier start") {
+            fun hosts(vararg members: Member) =
+                members.map { StoredEntry(it.host.value, 0, BinaryCodec.encode(Member.serializer(), it)) }
+
+            class Entries(val name: String, val entries: List<StoredEntry>, val isWritten: Boolean)
+
+            listOf(
+                Entries("its entry", hosts(member("h1"), peer), isWritten = false),
+                Entries("no entry of it", hosts(peer), isWritten = true),
+                Entries("an entry of an earlier start", hosts(member("h1", start = 0), peer), isWritten = true),
+            ).forEach { case ->
+                withClue("the copy has ${case.name}") {
+                    val host = RoutingFixture()
+                    host.restoreStore(lost = 1)
+                    host.publish(version(1), complete = true).none<RoutingEffect.ReadHosts>() shouldBe false
+                    host.read(StateTopic.HOSTS, case.entries).none<RoutingEffect.AnnounceHost>() shouldBe
+                        !case.isWritten
+                }
+            }
+        }
     })
