Do not use a server again because a restored store lost that it left

A backend server that had announced its stop, or whose entry was gone, was in use again on every host as soon as a copy of before was read, until it had written again or its entry had expired in the restored store.

Cause: an entry of a later era counted as newer than any of an earlier one, although the copy contains what the server had said before.

Entries of different eras are now compared by the server's own count: its start and its heartbeats since. An entry from the copy that is older than what the host knows is held back for 5 s. By then its server has written again, or the store has removed the entry of a silent one; an entry that is still there is right and is used.

StoreRestoreSpec failed before in three of five new cases, such as "a server that was leaving is used after a restore only if it is ready by its own latest word": expected:<false> but was:<true>.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateDecoder.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/routing/StateDecoder.kt
@@ -7,4 +7,7 @@
     fun configuration(value: ByteArray): Either<String, RoutingConfiguration>
 
     fun backend(key: String, value: ByteArray): Either<String, Backend>
+
+    /** Revision of the entry of a backend server. */
+    fun revision(value: ByteArray): Either<String, BackendRevision>
 }
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/RoutingRig.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/slopes/RoutingRig.kt
@@ -17,6 +17,7 @@
 import io.anvilvalve.api.peer.PeerFrame
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.routing.Backend
+import io.anvilvalve.api.routing.BackendRevision
 import io.anvilvalve.api.routing.OrganisationRule
 import io.anvilvalve.api.routing.RequestKind
 import io.anvilvalve.api.routing.RouteRule
@@ -139,6 +140,9 @@
         } else {
             "not a backend server entry".left()
         }
+
+        override fun revision(value: ByteArray): Either<String, BackendRevision> =
+            BackendRevision(startedAtMillis = 0, heartbeats = 0).right()
     }
 
     private companion object {
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
@@ -14,6 +14,7 @@
     private val records = HashMap<String, StoredEntry>()
     private val backends = LinkedHashMap<BackendServerId, Backend>()
     private val removalDueAt = HashMap<String, Duration>()
+    private val restored = RestoredEntries(out, decoder)
 
     /** Position in the store up to which entries have been read, or [StorePosition.NONE]. */
     var position: StorePosition = StorePosition.NONE
@@ -49,28 +50,32 @@
         readAt = out.now
         var changed = false
         for (entry in entries) {
-            if (entry.position > (records[entry.key]?.position ?: StorePosition.NONE)) {
+            if (restored.isNewer(entry, records[entry.key])) {
                 changed = put(entry, grace, isLogged = !isFirst) || changed
             }
         }
+        position = next
         if (complete) {
             val present = entries.mapTo(HashSet()) { it.key }
+            restored.retain(present)
             records.keys.filter { it !in present }.forEach { changed = remove(it, grace) || changed }
         }
-        position = next
         if (isFirst) out.log(LogEvent.DIRECTORY_READ, "servers" to backends.size, "offset" to position.offset)
         if (changed) changedAt = position
         return changed
     }
 
-    /** Removes entries whose grace period has ended; returns whether there were any. */
+    /** Applies removals and entries whose grace period has ended; returns whether there were any. */
     fun tick(): Boolean {
-        if (removalDueAt.isEmpty()) return false
+        if (removalDueAt.isEmpty() && !restored.isHoldingBack) return false
         val due = removalDueAt.filterValues { it <= out.now }.keys.toList()
         due.forEach { removeNow(it) }
-        // A host that took over the entries at the current offset does not know the removal.
-        if (due.isNotEmpty()) changedAt = position.copy(offset = position.offset + 1)
-        return due.isNotEmpty()
+        val returned = restored.takeDue()
+        returned.forEach { put(it, grace = Duration.ZERO, isLogged = true) }
+        val changed = due.isNotEmpty() || returned.isNotEmpty()
+        // A host that took over the entries at the current offset does not know the change.
+        if (changed) changedAt = position.copy(offset = position.offset + 1)
+        return changed
     }
 
     private fun put(entry: StoredEntry, grace: Duration, isLogged: Boolean): Boolean {
@@ -113,7 +118,7 @@
 
     private fun removeNow(key: String): Boolean {
         removalDueAt.remove(key)
-        records.remove(key)
+        records.remove(key)?.let { restored.recordRemoval(it, position) }
         return removeBackend(key)
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingTimes.kt
@@ -33,6 +33,12 @@
     /** Backend servers whose entries expired during an outage of the store register again within 2 s. */
     val REGISTRATION_GRACE: Duration = 2200.milliseconds
 
+    /**
+     * A store that has come back from a copy removes the entry of a silent server after three heartbeats, 3.6 s; a server
+     * that has replaced its entry since the copy writes again sooner.
+     */
+    val RESTORED_ENTRY_GRACE: Duration = 5.seconds
+
     /** A peer's report of its next queued request applies for this long; a third more than [GOSSIP_INTERVAL]. */
     val QUEUE_HEAD_EXPIRY: Duration = 400.milliseconds
 
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
@@ -16,6 +16,7 @@
 import io.anvilvalve.api.peer.PeerFrame
 import io.anvilvalve.api.peer.PeerMessage
 import io.anvilvalve.api.routing.Backend
+import io.anvilvalve.api.routing.BackendRevision
 import io.anvilvalve.api.routing.EngineSpec
 import io.anvilvalve.api.routing.OrganisationRule
 import io.anvilvalve.api.routing.RequestKind
@@ -35,6 +36,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** An entry that a backend server has written with its [heartbeats]. */
+internal data class Registration(val backend: Backend, val heartbeats: Long)
+
 /** Decoder whose stored values are indexes into a table of objects; an unknown index does not decode. */
 internal class TableDecoder : StateDecoder {
     private val objects = ArrayList<Any>()
@@ -49,7 +53,18 @@
         (objects.getOrNull(value.single().toInt()) as? RoutingConfiguration)?.right() ?: "no configuration".left()
 
     override fun backend(key: String, value: ByteArray): Either<String, Backend> =
-        (objects.getOrNull(value.single().toInt()) as? Backend)?.right() ?: "no backend server".left()
+        registration(value)?.backend?.right() ?: "no backend server".left()
+
+    override fun revision(value: ByteArray): Either<String, BackendRevision> =
+        registration(value)?.let { BackendRevision(it.backend.startedAtMillis, it.heartbeats).right() }
+            ?: "no backend server".left()
+
+    private fun registration(value: ByteArray): Registration? =
+        when (val entry = objects.getOrNull(value.single().toInt())) {
+            is Registration -> entry
+            is Backend -> Registration(entry, heartbeats = 0)
+            else -> null
+        }
 }
 
 internal val organisation = OrganisationId("drawers")
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
@@ -13,6 +13,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Guards against state that is ignored, lost or older than before after the store came back from an older copy. */
 class StoreRestoreSpec :
@@ -187,4 +188,60 @@
                 }
             }
         }
+
+        class Returned(
+            val name: String,
+            val last: Registration?,
+            val inCopy: Registration,
+            val isUsedAtOnce: Boolean,
+            val isUsedLater: Boolean,
+            val writtenAgain: Registration? = null,
+        )
+
+        val ready = plain("p2")
+        val leaving = plain("p2", leaving = true)
+        val isLeaving = Registration(leaving, 9)
+        listOf(
+            Returned("that was leaving", isLeaving, Registration(ready, 1), isUsedAtOnce = false, isUsedLater = true),
+            Returned("whose entry was removed", null, Registration(ready, 1), isUsedAtOnce = false, isUsedLater = true),
+            Returned(
+                "that was leaving and says so again",
+                isLeaving,
+                Registration(ready, 1),
+                isUsedAtOnce = false,
+                isUsedLater = false,
+                writtenAgain = Registration(leaving, 10),
+            ),
+            Returned(
+                "that was leaving and has started again",
+                isLeaving,
+                Registration(ready.copy(startedAtMillis = 5), 1),
+                isUsedAtOnce = true,
+                isUsedLater = true,
+            ),
+            Returned(
+                "whose entry was removed and that registers again",
+                null,
+                Registration(ready, 20),
+                isUsedAtOnce = true,
+                isUsedLater = true,
+            ),
+        ).forEach { case ->
+            test("a server ${case.name} is used after a restore only if it is ready by its own latest word") {
+                val host = RoutingFixture(backends = emptyList())
+                host.read(StateTopic.DIRECTORY, listOf(host.entry("p2", Registration(ready, 1))))
+                host.read(StateTopic.DIRECTORY, listOf(host.entry("p2", case.last)), complete = false)
+                host.restoreStore(lost = 1)
+                host.read(StateTopic.DIRECTORY, listOf(host.entry("p2", case.inCopy)))
+                fun isUsed(path: String) = !host.arrive(path).effects.none<RoutingEffect.Forward>()
+                isUsed("/drawers/1") shouldBe case.isUsedAtOnce
+                case.writtenAgain?.let {
+                    host.read(StateTopic.DIRECTORY, listOf(host.entry("p2", it)), complete = false)
+                }
+                host.advance(4.seconds)
+                isUsed("/drawers/2") shouldBe case.isUsedAtOnce
+                host.advance(2.seconds)
+                isUsed("/drawers/3") shouldBe case.isUsedLater
+            }
+        }
     })
