Replace the usage that a restored store has from its copy

After a restore the store could hold usage of organisations near their quota that was long over. A start of all hosts then counted it once more and refused their callers although they were within their quota.

Cause: the leader writes usage only while an organisation is near its quota, and once more when none is any longer. It took its last write for what the store has.

After a restore it writes the present usage once in any case.

StoreRestoreSpec failed before in "the usage in the copy is replaced, although no organisation is near its quota any more": no write.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -307,7 +307,10 @@
 
         override fun usageRead(usage: List<RecordedUsage>) = quotas.restore(usage)
 
-        override fun storeRestored() = out.emit(RoutingEffect.ReadHosts)
+        override fun storeRestored() {
+            out.emit(RoutingEffect.ReadHosts)
+            usageWriter.storeRestored()
+        }
 
         override fun serversChanged() {
             placement.retainKnownServers()
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/UsageWriter.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/UsageWriter.kt
@@ -25,6 +25,12 @@
         out.emit(RoutingEffect.PutState(StateTopic.USAGE, KEY, value))
     }
 
+    /** Writes the usage again, because the store has an older record. */
+    fun storeRestored() {
+        writtenAt = null
+        lastWasEmpty = false
+    }
+
     private companion object {
         const val KEY = "near-quota"
     }
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
@@ -244,4 +244,16 @@
                 isUsed("/drawers/3") shouldBe case.isUsedLater
             }
         }
+
+        test("the usage in the copy is replaced, although no organisation is near its quota any more") {
+            val quota = configuration(1, ratePerSecond = 10_000.0, burst = 20_000.0)
+            val host = RoutingFixture(configuration = quota)
+            host.advance(10.seconds)
+            repeat(4) { host.arrive("/drawers/$it", promptTokens = 15_000) }
+            host.advance(20.seconds).none<RoutingEffect.PutState>() shouldBe false
+            host.advance(2.seconds).none<RoutingEffect.PutState>() shouldBe true
+            host.restoreStore(lost = 0)
+            host.publish(quota, complete = true)
+            host.advance(1.seconds).only<RoutingEffect.PutState>().topic shouldBe StateTopic.USAGE
+        }
     })
