Tell all hosts of a large fleet that the store came back from a copy

In a fleet of more than 12 hosts only the coordinators wrote lost entries of hosts again. The others learn of a restore with the state that they request from a coordinator, and requested none if the copy had the same backend servers.

A coordinator now names the first position of a later era as a change, so that all hosts request the state once after a restore.

CoordinatorsSpec failed before in "every host of a large fleet writes its entry again if a restored store has lost it": expected:<30> but was:<3>. The simulated fleet has a store that keeps all versions and can be restored.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
@@ -54,6 +54,7 @@
                 changed = put(entry, grace, isLogged = !isFirst) || changed
             }
         }
+        val isOfLaterEra = next.era > position.era
         position = next
         if (complete) {
             val present = entries.mapTo(HashSet()) { it.key }
@@ -61,7 +62,8 @@
             records.keys.filter { it !in present }.forEach { changed = remove(it, grace) || changed }
         }
         if (isFirst) out.log(LogEvent.DIRECTORY_READ, "servers" to backends.size, "offset" to position.offset)
-        if (changed) changedAt = position
+        // Hosts that follow this one learn of the restore with the entries, also if these are the same.
+        if (changed || isOfLaterEra) changedAt = position
         return changed
     }
 
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/CoordinatorsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/CoordinatorsSpec.kt
@@ -133,6 +133,14 @@
                 .shouldBeEmpty()
         }
 
+        test("every host of a large fleet writes its entry again if a restored store has lost it") {
+            val fleet = FleetSimulation(30, backends = servers)
+            fleet.run(5.seconds)
+            fleet.restoreStore(versions = 0, lostHosts = fleet.hosts.mapTo(HashSet()) { it.name })
+            fleet.run(2.seconds)
+            fleet.announced.size shouldBe 30
+        }
+
         test("all hosts together admit no more than the quota of a window") {
             val terms = QuotaTerms()
             val rate = 20_000.0
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
@@ -7,6 +7,7 @@
 import io.anvilvalve.api.id.RequestId
 import io.anvilvalve.api.log.Member
 import io.anvilvalve.api.peer.PeerFrame
+import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StatePage
@@ -20,7 +21,8 @@
 
 /**
  * A fleet of [size] hosts in virtual time with a store, backend servers that refuse calls beyond slots and queue, and a
- * network that delivers every message in the next step. Hosts can be killed, frozen and cut off from the store.
+ * network that delivers every message in the next step. Hosts can be killed, frozen and cut off from the store, and the
+ * store can come back from an older copy.
  */
 internal class FleetSimulation(
     size: Int,
@@ -35,6 +37,12 @@
         var isFrozen = false
         var readsStore = true
         var followsStore = true
+
+        /** Era in which this host last read all entries of the backend servers; null before the first time. */
+        var readEra: Long? = 0
+
+        /** Versions of the configuration in the order in which this incarnation applied them. */
+        val versions = ArrayList<Long>()
         var framesSent = 0
         val received = ArrayDeque<() -> List<RoutingEffect>>()
     }
@@ -52,7 +60,11 @@
     private val occupied = HashMap<BackendServerId, Int>()
     private val arrivedAt = HashMap<Pair<Host, RequestId>, Duration>()
     private var offset = 1L + backends.size
-    private var stored: StoredEntry? = null
+    private var era = 0L
+
+    /** Versions in the store, oldest first. */
+    private val stored = ArrayList<RoutingConfiguration>()
+    private val hostsInStore = HashSet<String>()
 
     var now: Duration = 1.seconds
         private set
@@ -69,9 +81,13 @@
         private set
 
     init {
+        hostsInStore += hosts.map { it.name }
         hosts.forEach(::readHosts)
     }
 
+    /** Names of the hosts that have an entry in the store. */
+    val announced: Set<String> get() = hostsInStore
+
     val coordinator: Host get() = hosts.first { it.isAlive && !it.isFrozen }
 
     /** Advances the time; [arrivals] requests a second arrive at random hosts that are alive. */
@@ -106,12 +122,23 @@
         host.fixture = start(host.name, incarnation = 2)
         host.isAlive = true
         host.followsStore = true
+        host.versions.clear()
+        hostsInStore += host.name
         hosts.filter { it.isAlive }.forEach(::readHosts)
     }
 
     /** Writes a new configuration to the store. */
     fun publish(next: RoutingConfiguration) {
-        stored = StoredEntry("config", offset++, decoder.encode(next))
+        offset++
+        stored += next
+    }
+
+    /** Brings the store back from a copy without its last [versions] and without the entries of [lostHosts]. */
+    fun restoreStore(versions: Int, lostHosts: Set<String> = emptySet()) {
+        era++
+        offset -= versions
+        repeat(versions) { stored.removeLast() }
+        hostsInStore -= lostHosts
     }
 
     private fun start(name: String, incarnation: Int): RoutingFixture {
@@ -127,8 +154,8 @@
 
     private fun readHosts(host: Host) {
         if (!host.readsStore) return
-        val entries = hosts.map {
-            StoredEntry(it.name, 0, BinaryCodec.encode(Member.serializer(), it.fixture.self))
+        val entries = hosts.filter { it.name in hostsInStore }.map {
+            StoredEntry(it.name, 0, BinaryCodec.encode(Member.serializer(), it.fixture.self), era)
         }
         perform(host, host.fixture.read(StateTopic.HOSTS, entries))
     }
@@ -141,11 +168,21 @@
     }
 
     private fun readStore(host: Host) {
-        val entries = listOfNotNull(stored)
-        listOf(StateTopic.CONFIGURATION to entries, StateTopic.DIRECTORY to emptyList()).forEach { (topic, read) ->
-            val page = StatePage(read, StorePosition(0, offset), complete = false)
-            perform(host, host.fixture.send(RoutingEvent.StateRead(topic, page.right())))
+        val version = stored.lastOrNull()?.let { StoredEntry("config", offset - 1, decoder.encode(it), era) }
+        read(host, StateTopic.CONFIGURATION, listOfNotNull(version))
+        val complete = host.readEra != era
+        host.readEra = era
+        val entries = if (complete) {
+            backends.mapIndexed { index, it -> StoredEntry(it.id.value, index + 1L, decoder.encode(it), era) }
+        } else {
+            emptyList()
         }
+        read(host, StateTopic.DIRECTORY, entries, complete)
+    }
+
+    private fun read(host: Host, topic: StateTopic, entries: List<StoredEntry>, complete: Boolean = false) {
+        val page = StatePage(entries, StorePosition(era, offset), complete)
+        perform(host, host.fixture.send(RoutingEvent.StateRead(topic, page.right())))
     }
 
     private fun deliver() {
@@ -174,12 +211,23 @@
                 is RoutingEffect.Refuse -> refused++
                 is RoutingEffect.FollowStore -> host.followsStore = effect.active
                 is RoutingEffect.ReadHosts -> readHosts(host)
+                is RoutingEffect.AnnounceHost -> announce(host)
+                is RoutingEffect.Log -> record(host, effect)
                 else -> Unit
             }
         }
         host.fixture.effects.clear()
     }
 
+    private fun announce(host: Host) {
+        if (host.readsStore) hostsInStore += host.name
+    }
+
+    private fun record(host: Host, effect: RoutingEffect.Log) {
+        if (effect.event != LogEvent.CONFIGURATION_APPLIED) return
+        host.versions += effect.fields.getValue("configuration").toLong()
+    }
+
     private fun send(host: Host, effect: RoutingEffect.SendFrame) {
         host.framesSent++
         val to = hosts.firstOrNull { it.isAlive && it.fixture.self == effect.to } ?: return
