Read the list of hosts until it has been read after a restore

A host that learned of a restore from a peer, while it could not reach the store itself, never noticed that its entry was lost.

Cause: the list of hosts was read once after a restore, and the read was not repeated when it failed.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -307,10 +307,7 @@
 
         override fun usageRead(usage: List<RecordedUsage>) = quotas.restore(usage)
 
-        override fun storeRestored() {
-            out.emit(RoutingEffect.ReadHosts)
-            usageWriter.storeRestored()
-        }
+        override fun storeRestored() = usageWriter.storeRestored()
 
         override fun serversChanged() {
             placement.retainKnownServers()
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -52,6 +52,9 @@
     private var era: Long? = null
     private var restoredAt: Duration? = null
 
+    /** Era in which the list of hosts was last read; null if it has not been read. */
+    private var hostsEra: Long? = null
+
     /** Time since when a peer has had a newer version of the configuration; null if none has. */
     private var behindSince: Duration? = null
     private var requestedAt: Duration? = null
@@ -129,6 +132,9 @@
     val storeAge: Duration
         get() = maxOf(readAge(StateTopic.CONFIGURATION), readAge(StateTopic.DIRECTORY))
 
+    /** Whether the store has come back from a copy since the list of hosts was read. */
+    val isHostListOutdated: Boolean get() = restoredAt != null && hostsEra != era
+
     fun tick() {
         if (directory.tick()) sink.serversChanged()
     }
@@ -144,7 +150,10 @@
                 if (changed) sink.serversChanged()
             }
 
-            StateTopic.HOSTS -> applyHosts(page)
+            StateTopic.HOSTS -> {
+                hostsEra = page.next.era
+                applyHosts(page)
+            }
 
             StateTopic.USAGE -> page.entries.forEach(::applyUsage)
         }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StoreReading.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StoreReading.kt
@@ -43,12 +43,15 @@
         out.emit(RoutingEffect.FollowStore(next.active, next.wait))
     }
 
-    /** Reads the hosts again if a coordinator mentions an unknown one, or if no known host is alive. */
+    /**
+     * Reads the hosts again if a coordinator mentions an unknown one, if no known host is alive, or if the store may have
+     * lost entries.
+     */
     private fun readHosts() {
         val isAlone = peers.size > 0 && peers.silentCount == peers.size
         val since = hostsReadAt?.let { out.now - it } ?: Duration.INFINITE
         if (since < RoutingTimes.HOSTS_READ_INTERVAL) return
-        if (!peers.consumeUnknownMentioned() && !isAlone) return
+        if (!peers.consumeUnknownMentioned() && !isAlone && !state.isHostListOutdated) return
         hostsReadAt = out.now
         out.emit(RoutingEffect.ReadHosts)
     }
