--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
@@ -133,12 +133,17 @@
         stored += next
     }
 
-    /** Brings the store back from a copy without its last [versions] and without the entries of [lostHosts]. */
-    fun restoreStore(versions: Int, lostHosts: Set<String> = emptySet()) {
+    /**
+     * Brings the store back from a copy without its last [versions] and without the entries of [lostHosts]; returns the
+     * versions that are lost, oldest first.
+     */
+    fun restoreStore(versions: Int, lostHosts: Set<String> = emptySet()): List<RoutingConfiguration> {
+        val lost = stored.takeLast(versions)
         era++
-        offset -= versions
-        repeat(versions) { stored.removeLast() }
+        offset -= lost.size
+        repeat(lost.size) { stored.removeLast() }
         hostsInStore -= lostHosts
+        return lost
     }
 
     private fun start(name: String, incarnation: Int): RoutingFixture {
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RestoredFleetSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RestoredFleetSpec.kt
@@ -51,14 +51,15 @@
         fleet.publish(published.last())
     }
 
-    /** The operators write again what the store has lost, oldest first. */
-    private fun writeLost() = fleet.publish(lost.removeFirst())
+    /** The operators write again what the store has lost: the oldest first, or only the newest. */
+    private fun writeLost() {
+        if (random.nextBoolean()) while (lost.size > 1) lost.removeFirst()
+        fleet.publish(lost.removeFirst())
+    }
 
     private fun restore() {
-        val count = random.nextInt(minOf(MAX_LOST, published.size - lost.size) + 1)
-        val end = published.size - lost.size
-        published.subList(end - count, end).reversed().forEach(lost::addFirst)
-        fleet.restoreStore(count, setOf(fleet.hosts.random(random).name))
+        val lostNow = fleet.restoreStore(random.nextInt(MAX_LOST + 1), setOf(fleet.hosts.random(random).name))
+        lostNow.reversed().forEach(lost::addFirst)
     }
 
     private fun restart(host: FleetSimulation.Host) {
