Log the shared prompt parts of requests that fail or are repeated

The log could not show which of the requests that broke with an engine it had crashed on: it named no parts of prompts, and not at a repeat whether an answer had begun.

REQUEST_FAILED, REQUEST_FINISHED, REQUEST_REFUSED and REQUEST_RETRIED name the parts of the prompt that other requests may have too; REQUEST_RETRIED also the server and whether the answer had started.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/InboundRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/InboundRequest.kt
@@ -1,6 +1,7 @@
 package io.anvilvalve.rules.routing
 
 import io.anvilvalve.api.id.KeyHash
+import io.anvilvalve.api.id.PromptPartId
 import io.anvilvalve.api.id.RequestId
 import kotlin.time.Duration
 
@@ -14,6 +15,7 @@
  * @property promptTokens tokens of the prompt; null if the request does not state them.
  * @property outputTokens maximum number of output tokens.
  * @property expectedTokens the caller's estimate of the output tokens; null if the request does not state it.
+ * @property sharedParts parts of the prompt in their order, without the last, which belongs to the request alone.
  */
 data class InboundRequest(
     val id: RequestId,
@@ -24,4 +26,5 @@
     val promptTokens: Int? = null,
     val outputTokens: Int = 0,
     val expectedTokens: Int? = null,
+    val sharedParts: List<PromptPartId> = emptyList(),
 )
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestCompletion.kt
@@ -58,6 +58,7 @@
         "started_ms" to request.startedAt?.let { (it - request.arrivedAt).inWholeMilliseconds },
         "lasted_ms" to (out.now - request.arrivedAt).inWholeMilliseconds,
         "ends_with_connection" to request.answerEndsWithConnection,
+        "shared_parts" to request.request.sharedParts.joinToString(" "),
     )
 
     private fun measure(request: LiveRequest, code: ResultCode?) = out.emit(
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -392,6 +392,9 @@
         "request" to request.id,
         "attempt" to request.attempt,
         "runs" to request.runs,
+        "server" to request.triedServers.lastOrNull(),
+        "started" to (request.startedAt != null),
+        "shared_parts" to request.request.sharedParts.joinToString(" "),
         "reason" to request.lastReason,
     )
 
