Withhold requests with a prompt part that crashes engines

Callers of sound summaries were cut off or found no engine.

Cause: no host connected crashes with parts of prompts, and each host saw only a few of them.

Hosts now share which engines broke a request before its answer started, with the parts of its prompt, and which of these parts an engine has answered. An engine counts once per start, so one that breaks many requests without a crash withholds nothing. Of parts that always came together the last one is to blame, so that sound requests that share the others are served. After 10 minutes a part gets another chance.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
@@ -159,6 +159,7 @@
      * @property grants grants of coordinators that [loads] includes.
      * @property isReport whether the sender sends this message to the coordinators only.
      * @property ready whether the sender reports to the balancer that it serves callers.
+     * @property parts crashes of engines that parts of prompts may have caused; null while there are none.
      * @property drainMillis time for which a sender that stops accepts connections at most; null if it does not stop.
      */
     @Serializable
@@ -181,6 +182,7 @@
         @CborLabel(18) val ready: Boolean = true,
         @CborLabel(19) val drainMillis: Int? = null,
         @CborLabel(20) val era: Long = 0,
+        @CborLabel(21) val parts: PartReport? = null,
     ) : PeerMessage {
         val directoryPosition: StorePosition get() = StorePosition(era, directory)
     }
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/LogEvent.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/LogEvent.kt
@@ -24,6 +24,7 @@
     REQUEST_SENT(2107, "A request was sent to a backend server."),
     REQUEST_QUEUED(2108, "A request waits because no backend server has room."),
     REQUEST_RETRIED(2109, "A call to a backend server failed and the request is placed again."),
+    PROMPT_PART_WITHHELD(2110, "A part of prompts crashes engines; requests with it are refused."),
     LOG_UNREADABLE(2201, "The log service could not be read."),
     LOG_READABLE(2202, "The log service can be read again."),
     RECORD_UNREADABLE(2203, "A log record does not decode and was skipped."),
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/ResultCode.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/result/ResultCode.kt
@@ -29,6 +29,7 @@
     QUEUE_FULL(1301, 429, Executed.NO, "The organisation's queue is full."),
     DEADLINE_UNREACHABLE(1302, 503, Executed.NO, "No placement meets the first-token deadline."),
     NO_BACKEND_SERVER(1303, 503, Executed.NO, "No backend server can take the request."),
+    PROMPT_WITHHELD(1305, 503, Executed.NO, "A part of the prompt crashes engines."),
     CALLER_GONE(1304, 499, Executed.UNKNOWN, "The caller closed the connection."),
     IDEMPOTENCY_KEY_REQUIRED(1401, 400, Executed.NO, "The route requires an Idempotency-Key header."),
     IDEMPOTENCY_KEY_REUSED(1402, 422, Executed.NO, "The idempotency key was used for another call."),
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -27,6 +27,7 @@
     private val delegated: DelegatedPlacement,
     private val remote: RemotePlacements,
     private val drain: Drain,
+    private val crashingParts: CrashingParts,
     private val placer: () -> Member?,
 ) {
     private val inFlight = LinkedHashMap<RequestId, LiveRequest>()
@@ -36,6 +37,7 @@
 
     fun accept(request: LiveRequest) {
         inFlight[request.id] = request
+        if (crashingParts.isWithheld(request)) return withhold(request)
         if (drain.active && !canFinish(request, queues.expectedWait(request))) {
             return refuse(request, ResultCode.DRAINING)
         }
@@ -98,11 +100,19 @@
     }
 
     private fun forwardOrRefuse(request: LiveRequest) =
-        if (isTooLate(request)) refuse(request, ResultCode.DRAINING) else forward(request, request.source)
+        if (isTooLate(request)) refuse(request, ResultCode.DRAINING) else forwardOrWithhold(request, request.source)
+
+    /** A part may have been found to crash engines while [request] was queued or its prompt was processed. */
+    private fun forwardOrWithhold(request: LiveRequest, source: PrefillSource?) = when {
+        !crashingParts.isWithheld(request) -> forward(request, source)
+        isUntouched(request) -> withhold(request)
+        else -> fail(request, ResultCode.BACKEND_FAILED)
+    }
 
     fun answerStarted(event: RoutingEvent.AnswerStarted) {
         val request = inFlight[event.id]?.takeIf { it.attempt == event.attempt } ?: return
         if (request.startedAt == null) request.startedAt = out.now
+        crashingParts.recordAnswer(request)
         request.answerEndsWithConnection = event.endsWithConnection
     }
 
@@ -236,7 +246,7 @@
         loads.add(selected.server.id, request.reservedTokens)
         val source = validSource(request)
         if (source != null || selected.prefill == null) {
-            forward(request, source)
+            forwardOrWithhold(request, source)
         } else {
             startPrefill(request, selected.prefill, selected.tokensAhead)
         }
@@ -344,6 +354,7 @@
         }
         request.runs++
         request.source = null
+        if (request.startedAt == null && request.service.engine != null) crashingParts.recordBreak(request, server)
         if (!result.resumable || !tryRepeat(request)) {
             fail(request, if (request.startedAt == null) ResultCode.BACKEND_FAILED else ResultCode.STREAM_BROKEN)
         }
@@ -362,6 +373,7 @@
     private fun tryRepeat(request: LiveRequest): Boolean {
         val allowed = request.route.repeatable && request.runs < request.route.maxAttempts
         if (!allowed || request.deadlineAt - out.now < MIN_CALL_TIME) return false
+        if (request.startedAt == null && crashingParts.isSuspect(request)) return false
         if (!retries.tryReserveRetry(request.service.id)) return false
         requeue(request)
         return true
@@ -458,6 +470,9 @@
         inFlight.remove(request.id)
     }
 
+    private fun withhold(request: LiveRequest) =
+        refuse(request, ResultCode.PROMPT_WITHHELD, CrashingParts.WITHHOLDING_TIME)
+
     private fun fail(request: LiveRequest, code: ResultCode) {
         out.emit(RoutingEffect.Fail(request.id, code))
         end(request, code)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -48,8 +48,21 @@
     private val delegated: DelegatedPlacement =
         DelegatedPlacement(out, coordinators, placement, random.nextLong(MAX_FIRST_NUMBER), ::send)
     private val remote: RemotePlacements = RemotePlacements(self.incarnation, out, queues, placement, loads, ::send)
+    private val crashingParts = CrashingParts(out, peers)
     private val requests =
-        Requests(out, placement, loads, retries, queues, completion, outcomes, delegated, remote, drain) {
+        Requests(
+            out,
+            placement,
+            loads,
+            retries,
+            queues,
+            completion,
+            outcomes,
+            delegated,
+            remote,
+            drain,
+            crashingParts,
+        ) {
             coordinators.placer(isAvailable)
         }
     private val orders = OrderDispatcher(out, peers, balance, configuration, settings)
@@ -75,6 +88,7 @@
             isReport = !coordinators.isDirect,
             ready = ready,
             drainMillis = drain.acceptingTime?.inWholeMilliseconds?.toInt(),
+            parts = crashingParts.report,
         )
     }
     private val summaries: SummarySender = SummarySender(out, peers, coordinators, ::send) { number, alive ->
@@ -161,6 +175,7 @@
         reports.invalidate()
         gossip.tick()
         state.tick()
+        crashingParts.update()
         storeReading.tick()
         state.selectStatePeer()?.let {
             gossip.send(it.member, state.request())
@@ -194,6 +209,7 @@
         retries.applyReport(message.attempts, last?.attempts.orEmpty())
         loads.applyReport(message.member.host, message.loads)
         remote.reported(message.member.host, message.grants)
+        if (message.parts != null) crashingParts.update()
         // The other coordinators send their totals at the usual interval, in case the first one is lost.
         if (isPlacer && (last?.usage != message.usage || last.loads != message.loads)) {
             summaries.sendWithin(RoutingTimes.SUMMARY_DELAY)
@@ -218,12 +234,14 @@
         retries.applyTotals(totals.attempts)
         loads.applyTotals(totals.loads)
         reports.useTotals(totals)
+        crashingParts.useTotals(totals.parts)
     }
 
     /** Forgets the totals of coordinators, because this host receives the reports of the others itself. */
     private fun useReports() {
         loads.dropTotals()
         reports.useTotals(null)
+        crashingParts.useTotals(null)
     }
 
     private fun buildTotals() = FleetSummary.Totals(
@@ -233,6 +251,7 @@
         attempts = retries.buildTotals(),
         changing = reports.allChanging.toList(),
         unreachable = (reports.allUnreachable + placement.unreachable()).toList(),
+        parts = crashingParts.buildTotals(),
     )
 
     private fun handlePlacement(frame: PeerFrame, message: PlacementMessage) {
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
@@ -10,6 +10,7 @@
 import io.anvilvalve.api.id.KeyHash
 import io.anvilvalve.api.id.LogOffset
 import io.anvilvalve.api.id.OrganisationId
+import io.anvilvalve.api.id.PromptPartId
 import io.anvilvalve.api.id.RegionId
 import io.anvilvalve.api.id.RequestId
 import io.anvilvalve.api.log.Member
@@ -192,9 +193,12 @@
         key: KeyHash? = organisationKey,
         deadline: Duration? = null,
         host: String = "maps.example",
+        parts: List<String> = emptyList(),
     ): Arrival {
         val id = RequestId("r${++last}")
-        val request = InboundRequest(id, host, path, key, deadline, promptTokens, outputTokens)
+        val shared = parts.map(::PromptPartId)
+        val request =
+            InboundRequest(id, host, path, key, deadline, promptTokens, outputTokens, sharedParts = shared)
         return Arrival(id, send(RoutingEvent.Arrived(request)))
     }
 
