Release withheld prompt parts, and let old answers expire

Two hosts that withheld a part took it over from each other with the delay of their messages, so that its time never ended. A part that a host had seen answered at any time since its start counted as sound for the others.

Cause: a remaining time was applied at its arrival and told again; the list of answered parts that is told was not limited to recent answers.

A part is taken over from a peer only while it is withheld for another 30 s or more and not withheld here; only answers of the last 60 s are told.

CrashingPartsSpec failed before in both new cases: [true, true] in place of [false, false] after 10 minutes and 10 s, and [false, false] in place of [true, true] for a part that was answered two minutes before its first crash.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/CrashingParts.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/CrashingParts.kt
@@ -74,11 +74,9 @@
         updatedAt = out.now
         crashes.removeAll { out.now - it.at > CRASH_MEMORY || it.parts.all(::isAnswered) }
         withheldUntil.entries.removeIf { (part, until) -> until <= out.now || isAnswered(part) }
-        for (report in reports()) {
-            report.withheld.filterNot {
-                isAnswered(it.part)
-            }.forEach { withhold(it.part, it.millis.milliseconds, "peer") }
-        }
+        reports().flatMap { it.withheld }
+            .filter { it.millis.milliseconds > MIN_ADOPTED_TIME && it.part !in withheldUntil && !isAnswered(it.part) }
+            .forEach { withhold(it.part, it.millis.milliseconds, "peer") }
         val known = knownCrashes()
         known.flatMapTo(HashSet()) { it.parts }.filter { it !in withheldUntil && isToBlame(it, known) }.forEach {
             withhold(it, WITHHOLDING_TIME, "crashes")
@@ -93,7 +91,7 @@
             known.flatMapTo(HashSet()) { it.parts } + reports().flatMap { report -> report.withheld.map { it.part } }
         return PartReport(
             crashes.map(::shared),
-            parts.filter { it in answeredAt },
+            parts.filter(::isAnsweredHere),
             withheldUntil.map { (part, until) ->
                 PartReport.Withheld(part, (until - out.now).inWholeMilliseconds.toInt())
             },
@@ -121,10 +119,9 @@
     private fun knownCrashes(): List<Crash> = crashes +
         reports().flatMap { it.crashes }.map { Crash(it.engine, it.parts, out.now - it.ageMillis.milliseconds) }
 
-    private fun isAnswered(part: PromptPartId): Boolean {
-        val here = answeredAt[part]?.let { out.now - it < ANSWER_MEMORY } == true
-        return here || reports().any { part in it.answered }
-    }
+    private fun isAnsweredHere(part: PromptPartId) = answeredAt[part]?.let { out.now - it < ANSWER_MEMORY } == true
+
+    private fun isAnswered(part: PromptPartId) = isAnsweredHere(part) || reports().any { part in it.answered }
 
     private fun enginesOf(part: PromptPartId, known: List<Crash>): Set<String> =
         known.filter { part in it.parts }.mapTo(HashSet()) { it.engine }
@@ -138,8 +135,8 @@
     }
 
     private fun withhold(part: PromptPartId, time: Duration, source: String) {
-        val known = withheldUntil.put(part, maxOf(out.now + time, withheldUntil[part] ?: Duration.ZERO))
-        if (known == null) out.log(LogEvent.PROMPT_PART_WITHHELD, "part" to part, "from" to source)
+        withheldUntil[part] = out.now + time
+        out.log(LogEvent.PROMPT_PART_WITHHELD, "part" to part, "from" to source)
     }
 
     companion object {
@@ -158,6 +155,12 @@
         /** After this time, a part gets the chance to be served again, at the risk of [MIN_ENGINES] further crashes. */
         val WITHHOLDING_TIME = 10.minutes
 
+        /**
+         * A part that another host withholds for a shorter time is about to be released. Hosts that took it over from each
+         * other with the delay of their messages would never release it.
+         */
+        private val MIN_ADOPTED_TIME = 30.seconds
+
         /** Short against the time between crashes; reports arrive every few milliseconds. */
         private val UPDATE_INTERVAL = 100.milliseconds
         private const val MAX_ANSWERED = 4_096
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/CrashingPartsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/CrashingPartsSpec.kt
@@ -12,6 +12,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -148,11 +149,10 @@
             host.isWithheld("bad") shouldBe false
         }
 
-        test("hosts that saw one crash each withhold the part together, and hear that another part is answered") {
-            val names = (1..4).map { "h$it" }
-            val hosts = names.map { fixture(it, names - it) }
-
-            fun exchange() = repeat(3) {
+        /** Lets [hosts] send each other their messages for [time]. */
+        fun exchange(hosts: List<RoutingFixture>, time: Duration) {
+            val end = hosts.first().now + time
+            while (hosts.first().now < end) {
                 hosts.forEach { from ->
                     from.advance(300.milliseconds)
                         .filterIsInstance<RoutingEffect.SendFrame>()
@@ -160,13 +160,19 @@
                         .forEach { sent ->
                             hosts.first { it.self.host == sent.to.host }.receive(from.self, sent.frame.message)
                         }
+                    from.effects.clear()
                 }
             }
+        }
+
+        test("hosts that saw one crash each withhold the part together, and hear that another part is answered") {
+            val names = (1..4).map { "h$it" }
+            val hosts = names.map { fixture(it, names - it) }
             hosts.last().answer("shared")
             hosts.take(3).forEachIndexed { index, host ->
                 repeat(index) { host.ask("/sheets/1", "other-$it") }
                 host.crash("shared", "bad")
-                exchange()
+                exchange(hosts, 900.milliseconds)
             }
             hosts.forEach {
                 withClue(it.self.host) {
@@ -176,6 +182,26 @@
             }
         }
 
+        test("hosts that tell each other of a withheld part do not withhold it for ever") {
+            val hosts = listOf(fixture("h1", listOf("h2")), fixture("h2", listOf("h1")))
+            repeat(3) { hosts.first().crash("bad") }
+            exchange(hosts, 1.seconds)
+            hosts.map { it.isWithheld("bad") } shouldBe listOf(true, true)
+            exchange(hosts, 10.minutes + 10.seconds)
+            hosts.map { it.isWithheld("bad") } shouldBe listOf(false, false)
+        }
+
+        test("an answer of long ago does not protect a part") {
+            val hosts = listOf(fixture("h1", listOf("h2")), fixture("h2", listOf("h1")))
+            hosts.last().answer("bad")
+            exchange(hosts, 2.minutes)
+            repeat(3) {
+                hosts.first().crash("bad")
+                exchange(hosts, 1.seconds)
+            }
+            hosts.map { it.isWithheld("bad") } shouldBe listOf(true, true)
+        }
+
         test("a host of a large fleet withholds what its coordinator tells") {
             val coordinator = fixture("h1", listOf("h2"))
             repeat(3) { coordinator.crash("bad") }
