Write a missing host entry at most every 2 s

A store whose reads lag behind its writes would have got a write and a read from every host every few milliseconds, because a host wrote its entry again whenever a read of the list did not have it.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -54,6 +54,7 @@
 
     /** Era in which the list of hosts was last read; null if it has not been read. */
     private var hostsEra: Long? = null
+    private var announcedAt: Duration? = null
 
     /** Time since when a peer has had a newer version of the configuration; null if none has. */
     private var behindSince: Duration? = null
@@ -201,15 +202,20 @@
     /** Logs one line for all hosts, because at a start every host reads the entries of the whole fleet. */
     private fun applyHosts(page: StatePage) {
         val members = page.entries.mapNotNull(::decodeMember)
-        if (page.complete && members.none { it.incarnation == peers.self.incarnation }) {
-            out.emit(RoutingEffect.AnnounceHost)
-        }
+        if (page.complete && members.none { it.incarnation == peers.self.incarnation }) announce()
         val joined = members.filter(peers::register)
         if (joined.isEmpty()) return
         val names = joined.take(MAX_LOGGED_MEMBERS).joinToString { it.incarnation.value }
         out.log(LogEvent.MEMBER_JOINED, "members" to joined.size, "first" to names, "from" to "store")
     }
 
+    /** Reads may lag behind writes, so an entry that was just written may be missing in them. */
+    private fun announce() {
+        if (announcedAt?.let { out.now - it < RoutingTimes.HOSTS_READ_INTERVAL } == true) return
+        announcedAt = out.now
+        out.emit(RoutingEffect.AnnounceHost)
+    }
+
     private fun decodeMember(entry: StoredEntry): Member? = entry.value?.let { value ->
         BinaryCodec.decode(Member.serializer(), value)
             .onLeft { out.log(LogEvent.ENTRY_UNREADABLE, "host" to entry.key, "reason" to it) }
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StoreRestoreSpec.kt
@@ -246,6 +246,15 @@
             }
         }
 
+        test("a host whose entry is missing in reads that lag behind its writes does not write in a loop") {
+            val host = RoutingFixture()
+            val written = (1..50).sumOf { _ ->
+                host.advance(100.milliseconds)
+                host.read(StateTopic.HOSTS, emptyList()).filterIsInstance<RoutingEffect.AnnounceHost>().size
+            }
+            written shouldBe 3
+        }
+
         test("the usage in the copy is replaced, although no organisation is near its quota any more") {
             val quota = configuration(1, ratePerSecond = 10_000.0, burst = 20_000.0)
             val host = RoutingFixture(configuration = quota)
