Let the later record of the configuration win within an era

A record that lies before the one in force, in the same era, replaced it if its version was higher.

Versions now decide only between records of different eras, where offsets say nothing.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
@@ -27,12 +27,13 @@
     /**
      * Applies [record] unless it is older than the one in force or cannot be decoded.
      *
-     * Versions decide which of two records is newer, because a store that comes back from a copy contains older versions
-     * at new positions. Positions decide between records of the same version.
+     * Within an era of the store the later record is the newer one. Between eras the version decides, because a copy
+     * contains older versions at positions of a later era.
      */
     fun update(record: StoredEntry): Update {
         val value = record.value
-        if (value == null || record.position == entry?.position) return Update.Stale
+        val isKnown = entry?.let { it.era == record.era && it.offset >= record.offset } == true
+        if (value == null || isKnown) return Update.Stale
         return decoder.configuration(value).fold({ Update.Invalid(it) }, { apply(record, it) })
     }
 
