--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -48,9 +48,15 @@
 
 
 def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    """Finds a free port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randint(12_000, 30_000)
+        with socket.socket() as s:
+            try:
+                s.bind((ip, port))
+                return port
+            except OSError:
+                continue
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -361,6 +367,12 @@
             time.sleep(0.1)
         return False
 
+    def use_one_core(self):
+        """Lets all threads of the process run on one core only, as the platform does."""
+        core = max(os.sched_getaffinity(0))
+        for task in pathlib.Path(f"/proc/{self.process.pid}/task").iterdir():
+            os.sched_setaffinity(int(task.name), {core})
+
     def signal(self, number):
         self.process.send_signal(number)
 
