Read the answers of backend servers with a strict HTTP library

What callers saw: 200 with the signature of the backend server and a length of 600, where the server's body had 800 bytes.

Cause: OkHttp skips all bytes between the data of a chunk and the next line feed and accepts trailers without a colon. No code above it sees these bytes. Ruled out: a missed fault of the head (all heads are sound) and a failure of the reader that is ignored (there was none).

Change: calls to backend servers (forwarded requests, prefills, orders, reports, releases of handles) use Apache HttpCore 5, whose reader requires the line end behind each chunk. Each call is sent once, on its own connection.

Also changed by this: a query with ' or | is sent unchanged (OkHttp refused it), a GET may have a body, a handle that is no word is not sent, releases of handles time out after 1 s and wait in a bounded queue, and the reason of a failed call quotes at most 200 characters.

--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/OrderSender.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/OrderSender.kt
@@ -2,26 +2,24 @@
 
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.StateStore
-import io.anvilvalve.net.bytesAtMost
+import io.anvilvalve.net.CallRequest
+import io.anvilvalve.net.ServerCalls
+import io.anvilvalve.net.executeWithin
 import io.anvilvalve.rules.routing.OrderOutcome
 import io.anvilvalve.rules.routing.RoutingEffect
 import io.anvilvalve.rules.routing.RoutingEvent
-import okhttp3.OkHttpClient
-import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import java.io.IOException
 import java.util.concurrent.Executors
-import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 /** Acquires fencing tokens from the store and sends stage orders to engines, one at a time on a single thread. */
 internal class OrderSender(
-    client: OkHttpClient,
+    private val calls: ServerCalls,
     private val store: StateStore,
     private val dialect: RoutingDialect,
     private val holder: String,
     private val post: (RoutingEvent) -> Unit,
 ) : AutoCloseable {
-    private val client = client.newBuilder().callTimeout(CALL_TIMEOUT_SECONDS, TimeUnit.SECONDS).build()
     private val executor = Executors.newSingleThreadExecutor { Thread(it, "orders").apply { isDaemon = true } }
 
     fun acquireFencingToken() = executor.execute {
@@ -41,15 +39,12 @@
      * newer holder.
      */
     private fun send(order: RoutingEffect.SendOrder): OrderOutcome {
-        val report = call(request(order.server, dialect.reportPath).build()) ?: return OrderOutcome.REFUSED
+        val report = call(request(order.server, "GET", dialect.reportPath)) ?: return OrderOutcome.REFUSED
         val acceptedOrders = dialect.orderCount(report.body).fold({ return OrderOutcome.REFUSED }, { it })
         val newest = store.isNewestFencingToken(order.fence).fold({ return OrderOutcome.REFUSED }, { it })
         if (!newest) return OrderOutcome.FENCE_LOST
         val body = dialect.stageOrder(StageOrder(order.stage, holder, order.fence.number, acceptedOrders))
-        val request = request(order.server, dialect.orderPath).post(body.toRequestBody(null))
-            .header("Content-Type", "application/json")
-            .build()
-        val reply = call(request) ?: return OrderOutcome.UNKNOWN
+        val reply = call(request(order.server, "POST", dialect.orderPath, body)) ?: return OrderOutcome.UNKNOWN
         return when (reply.status) {
             in SUCCESS_STATUSES -> OrderOutcome.ACCEPTED
             FENCE_TOO_LOW -> OrderOutcome.FENCE_LOST
@@ -59,21 +54,22 @@
 
     private class Reply(val status: Int, val body: ByteArray)
 
-    private fun request(server: Backend, path: String) = Request.Builder()
-        .url("http://${server.address}$path")
-        .headers(dialect.instanceHead(server.id.value))
-        .header("Connection", "close")
+    private fun request(server: Backend, method: String, path: String, body: ByteArray? = null): CallRequest {
+        val head = dialect.instanceHead(server.id.value).newBuilder().set("Connection", "close")
+        if (body != null) head["Content-Type"] = "application/json"
+        return CallRequest(server.address, method, path, head.build(), body)
+    }
 
     /** Returns null when no complete answer was received. */
-    private fun call(request: Request): Reply? = try {
-        client.newCall(request).execute().use { Reply(it.code, it.body.bytesAtMost(MAX_REPLY_BYTES)) }
+    private fun call(request: CallRequest): Reply? = try {
+        calls.create(request).executeWithin(CALL_TIMEOUT) { Reply(it.status, it.bytesAtMost(MAX_REPLY_BYTES)) }
     } catch (_: IOException) {
         // The resulting outcome is logged with the order.
         null
     }
 
     private companion object {
-        const val CALL_TIMEOUT_SECONDS = 1L
+        val CALL_TIMEOUT = 1.seconds
 
         /** A report lists the running requests of an engine. */
         const val MAX_REPLY_BYTES = 256L * 1024
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutedExchange.kt
@@ -4,14 +4,15 @@
 import io.anvilvalve.api.result.Executed
 import io.anvilvalve.api.result.ResultCode
 import io.anvilvalve.host.CallerWatch
-import io.anvilvalve.net.bytesAtMost
-import io.anvilvalve.net.endsWithConnection
+import io.anvilvalve.net.ServerAnswer
+import io.anvilvalve.net.ServerCall
+import io.anvilvalve.net.reason
 import io.anvilvalve.rules.routing.AttemptResult
 import io.anvilvalve.rules.routing.InboundRequest
 import io.anvilvalve.rules.routing.PrefillResult
 import io.anvilvalve.rules.routing.RoutingEffect
 import io.anvilvalve.rules.routing.RoutingEvent
-import okhttp3.Response
+import okhttp3.MediaType.Companion.toMediaTypeOrNull
 import java.io.IOException
 import java.util.concurrent.LinkedBlockingQueue
 
@@ -25,7 +26,7 @@
     private val dialect: RoutingDialect,
     private val post: (RoutingEvent) -> Unit,
 ) {
-    private class RunningCall(val attempt: Int, val prepared: UpstreamClient.Prepared)
+    private class RunningCall(val attempt: Int, val call: ServerCall)
 
     private val pendingEffects = LinkedBlockingQueue<RoutingEffect.OnRequest>()
 
@@ -51,7 +52,7 @@
             return
         }
         abandonedAttempt = maxOf(abandonedAttempt, effect.attempt)
-        runningCall?.takeIf { it.attempt <= effect.attempt }?.prepared?.call?.cancel()
+        runningCall?.takeIf { it.attempt <= effect.attempt }?.call?.close()
     }
 
     /** Handles the request [arrived]; returns when the answer has ended. */
@@ -97,10 +98,10 @@
     private fun prefill(effect: RoutingEffect.Prefill) {
         val outbound = OutboundCall(effect.server.id.value, effect.terms, prefillOnly = true)
         val result = call(effect.attempt, upstream.prepare(received, effect.server, outbound)) { response ->
-            val body = response.body.bytesAtMost(MAX_PREFILL_RESULT_BYTES)
+            val body = response.bytesAtMost(MAX_PREFILL_RESULT_BYTES)
             when {
-                isOfOtherAttempt(dialect.answer(response.code, response.headers)) -> PrefillResult.Failed(OTHER_ATTEMPT)
-                response.code != OK -> PrefillResult.Failed("status ${response.code}")
+                isOfOtherAttempt(dialect.answer(response.status, response.head)) -> PrefillResult.Failed(OTHER_ATTEMPT)
+                response.status != OK -> PrefillResult.Failed("status ${response.status}")
                 else -> dialect.prefillHandle(body).fold({ PrefillResult.Failed(it) }, { PrefillResult.Done(it) })
             }
         }
@@ -133,12 +134,12 @@
         return ended
     }
 
-    private fun handleResponse(effect: RoutingEffect.Forward, response: Response): AttemptResult {
-        val facts = dialect.answer(response.code, response.headers)
+    private fun handleResponse(effect: RoutingEffect.Forward, response: ServerAnswer): AttemptResult {
+        val facts = dialect.answer(response.status, response.head)
         return when {
             isOfOtherAttempt(facts) -> AttemptResult.Failed(OTHER_ATTEMPT, Executed.UNKNOWN)
-            facts.notExecuted -> AttemptResult.NotExecuted(response.code)
-            !response.isSuccessful -> keepFailure(response)
+            facts.notExecuted -> AttemptResult.NotExecuted(response.status)
+            response.status !in SUCCESS_STATUSES -> keepFailure(response)
             !facts.signed -> AttemptResult.Failed("the answer is not signed by the backend server", Executed.UNKNOWN)
             isStream(effect, response) -> relayStream(effect, response)
             answer.started -> AttemptResult.Failed("a stream was resumed with another type of answer", Executed.UNKNOWN)
@@ -148,29 +149,29 @@
 
     private fun isOfOtherAttempt(facts: AnswerFacts) = facts.attemptId != null && facts.attemptId != received.attemptId
 
-    private fun isStream(effect: RoutingEffect.Forward, response: Response): Boolean {
+    private fun isStream(effect: RoutingEffect.Forward, response: ServerAnswer): Boolean {
         if (received.method == HEAD) return false
-        val isUntyped = response.header("Content-Type") == null
-        return response.body.contentType()?.subtype == EVENT_STREAM || (effect.expectsStream && isUntyped)
+        val type = response.head["Content-Type"] ?: return effect.expectsStream
+        return type.toMediaTypeOrNull()?.subtype == EVENT_STREAM
     }
 
-    private fun keepFailure(response: Response): AttemptResult {
+    private fun keepFailure(response: ServerAnswer): AttemptResult {
         failure = bufferedAnswer(response)
-        return AttemptResult.ErrorAnswer(response.code)
+        return AttemptResult.ErrorAnswer(response.status)
     }
 
-    private fun bufferedAnswer(response: Response): BufferedAnswer {
-        val head = dialect.relayed(response.headers)
-        if (received.method == HEAD || response.code in BODILESS_STATUSES) {
+    private fun bufferedAnswer(response: ServerAnswer): BufferedAnswer {
+        val head = dialect.relayed(response.head)
+        if (received.method == HEAD || response.status in BODILESS_STATUSES) {
             // The length in such a head is not that of a body that follows.
-            val length = if (received.method == HEAD) response.header("Content-Length")?.toLongOrNull() else null
-            return BufferedAnswer(response.code, head, ByteArray(0), length)
+            val length = if (received.method == HEAD) response.head["Content-Length"]?.toLongOrNull() else null
+            return BufferedAnswer(response.status, head, ByteArray(0), length)
         }
-        val body = response.body.bytesAtMost(MAX_ANSWER_BYTES)
-        return BufferedAnswer(response.code, head, body, body.size.toLong())
+        val body = response.bytesAtMost(MAX_ANSWER_BYTES)
+        return BufferedAnswer(response.status, head, body, body.size.toLong())
     }
 
-    private fun relayWhole(effect: RoutingEffect.Forward, response: Response): AttemptResult {
+    private fun relayWhole(effect: RoutingEffect.Forward, response: ServerAnswer): AttemptResult {
         val buffered = bufferedAnswer(response)
         post(RoutingEvent.AnswerStarted(id, effect.attempt, response.endsWithConnection))
         // Closed before the last byte is written, because the caller may then send its next request on this connection.
@@ -179,14 +180,14 @@
         return AttemptResult.Complete
     }
 
-    private fun relayStream(effect: RoutingEffect.Forward, response: Response): AttemptResult {
-        val frames = EventFrames(response.body.source(), response.endsWithConnection)
+    private fun relayStream(effect: RoutingEffect.Forward, response: ServerAnswer): AttemptResult {
+        val frames = EventFrames(response.body, response.endsWithConnection)
         val earlierEvents = relayedEvents
         while (true) {
             val bytes = frames.next() ?: break
             if (!answer.started) {
                 post(RoutingEvent.AnswerStarted(id, effect.attempt, response.endsWithConnection))
-                writeToCaller { answer.sendHead(response.code, dialect.relayed(response.headers)) }
+                writeToCaller { answer.sendHead(response.status, dialect.relayed(response.head)) }
             }
             writeToCaller { answer.write(bytes) }
             relayedEvents = earlierEvents + frames.count
@@ -199,7 +200,7 @@
         }
         if (!answer.started) {
             post(RoutingEvent.AnswerStarted(id, effect.attempt, response.endsWithConnection))
-            writeToCaller { answer.sendHead(response.code, dialect.relayed(response.headers)) }
+            writeToCaller { answer.sendHead(response.status, dialect.relayed(response.head)) }
         }
         watch.close()
         return AttemptResult.Complete
@@ -219,37 +220,21 @@
         throw e
     }
 
-    private fun <T : Any> call(
-        attempt: Int,
-        prepared: UpstreamClient.Prepared?,
-        handle: (Response) -> T,
-    ): CallOutcome<T> {
-        if (prepared == null) {
+    private fun <T : Any> call(attempt: Int, call: ServerCall?, handle: (ServerAnswer) -> T): CallOutcome<T> {
+        if (call == null) {
             return CallOutcome.Failed(AttemptResult.Failed("the request target cannot be sent unchanged", Executed.NO))
         }
-        runningCall = RunningCall(attempt, prepared)
-        if (abandonedAttempt >= attempt) prepared.call.cancel()
+        runningCall = RunningCall(attempt, call)
+        if (abandonedAttempt >= attempt) call.close()
         return try {
-            CallOutcome.Received(executeAndClose(prepared, handle))
+            CallOutcome.Received(call.use { handle(it.execute()) })
         } catch (e: IOException) {
-            val reason = "${e.javaClass.simpleName}: ${e.message}"
-            CallOutcome.Failed(AttemptResult.Failed(reason, prepared.executed, unreachable = !prepared.sent))
+            CallOutcome.Failed(AttemptResult.Failed(e.reason, call.executed, unreachable = !call.sent))
         } finally {
             runningCall = null
         }
     }
 
-    private fun <T : Any> executeAndClose(prepared: UpstreamClient.Prepared, handle: (Response) -> T): T {
-        val response = prepared.call.execute()
-        try {
-            return handle(response)
-        } finally {
-            // Closing the body of a malformed answer reads its remaining bytes, and throws if their number is negative.
-            prepared.call.cancel()
-            runCatching { response.close() }.exceptionOrNull()?.let { if (it !is RuntimeException) throw it }
-        }
-    }
-
     private sealed interface CallOutcome<out T : Any> {
         class Received<T : Any>(val value: T) : CallOutcome<T>
 
@@ -263,6 +248,7 @@
 
     private companion object {
         const val OK = 200
+        val SUCCESS_STATUSES = 200..299
 
         /** Events between progress reports: about one report every 0.5 s, which keeps the cost of reporting low. */
         const val EVENTS_PER_REPORT = 8
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/RoutingHost.kt
@@ -17,9 +17,10 @@
 import io.anvilvalve.host.HostLoop
 import io.anvilvalve.host.connections
 import io.anvilvalve.host.stopAccepting
-import io.anvilvalve.net.HttpClients
 import io.anvilvalve.net.KtorPeerTransport
 import io.anvilvalve.net.PeerTransport
+import io.anvilvalve.net.ServerCalls
+import io.anvilvalve.net.SingleUseCalls
 import io.anvilvalve.rules.routing.QuotaTerms
 import io.anvilvalve.rules.routing.RoutingEffect
 import io.anvilvalve.rules.routing.RoutingEvent
@@ -27,11 +28,6 @@
 import io.anvilvalve.rules.routing.RoutingSettings
 import io.anvilvalve.settings.RoutingHostSettings
 import io.javalin.Javalin
-import okhttp3.Call
-import okhttp3.Callback
-import okhttp3.OkHttpClient
-import okhttp3.Response
-import java.io.IOException
 import java.security.MessageDigest
 import java.time.Clock
 import java.util.concurrent.CompletableFuture
@@ -69,15 +65,16 @@
     private val peers: PeerTransport = with(settings.peers) {
         KtorPeerTransport(listen.address, listen.port, MessageDigest.getInstance("SHA-256").digest(fleet.toByteArray()))
     }
-    private val client: OkHttpClient = HttpClients.createSingleUse(CONNECT_TIMEOUT, cleartext = true)
-    private val upstream = UpstreamClient(client, dialect)
+    private val calls: ServerCalls = SingleUseCalls(CONNECT_TIMEOUT)
+    private val upstream = UpstreamClient(calls, dialect)
+    private val releases = HandleReleases(upstream)
     private val rules =
         RoutingReducer(self, decoder, routingSettings(), settings.peers.seeds, incarnation.hashCode().toLong())
     private val loop: HostLoop<RoutingEvent, RoutingEffect> =
         HostLoop(rules, start, ::perform, events::error, RoutingEvent.Tick, isBusy = ::isBusy)
     private val api =
         RoutingApi(dialect, upstream, watch, ::newBodyReader, settings.callers.maxRequests, time, loop::post)
-    private val orders = OrderSender(client, store, dialect, settings.host.id, loop::post)
+    private val orders = OrderSender(calls, store, dialect, settings.host.id, loop::post)
     private val metrics = RoutingMetrics({ api.inFlightCount }, { ready })
     private val writer = StateWriter(store, events::write)
     private val reader = StateReader(store, ::announce, loop::post)
@@ -125,7 +122,7 @@
                 "callers" to "${settings.callers.listen}",
             ),
         )
-        WarmUp(client, settings.callers.listen).run()
+        WarmUp(calls, settings.callers.listen).run()
         warm = true
     }
 
@@ -135,6 +132,7 @@
     override fun close() {
         reader.close()
         orders.close()
+        releases.close()
         writer.close()
         callers?.stop()
         operations.stop()
@@ -173,7 +171,7 @@
             is RoutingEffect.OnRequest -> api.perform(effect)
             is RoutingEffect.SendFrame -> peers.send(effect.to, effect.frame)
             is RoutingEffect.ResetPeer -> peers.reset(effect.to)
-            is RoutingEffect.ReleaseHandle -> releaseHandle(effect)
+            is RoutingEffect.ReleaseHandle -> releases.submit(effect.source)
             is RoutingEffect.LimitsChanged -> applyLimits(effect.limits)
             is RoutingEffect.ReadyChanged -> ready = effect.ready
             RoutingEffect.Draining -> api.draining = true
@@ -210,16 +208,6 @@
         callers?.stopAccepting()
     }
 
-    private fun releaseHandle(effect: RoutingEffect.ReleaseHandle) {
-        upstream.releaseHandle(effect.source.server, effect.source.handle)?.enqueue(
-            object : Callback {
-                override fun onFailure(call: Call, e: IOException) = Unit
-
-                override fun onResponse(call: Call, response: Response) = response.close()
-            },
-        )
-    }
-
     private companion object {
         const val INCARNATION_SUFFIXES = 0x10000
         const val MAX_QUEUED_FRAMES = 10_000
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/UpstreamClient.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/routing/UpstreamClient.kt
@@ -1,13 +1,10 @@
 package io.anvilvalve.host.routing
 
-import io.anvilvalve.api.result.Executed
 import io.anvilvalve.api.routing.Backend
-import io.anvilvalve.net.SentMarker
-import okhttp3.Call
-import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
-import okhttp3.OkHttpClient
-import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
+import io.anvilvalve.net.CallRequest
+import io.anvilvalve.net.ServerCall
+import io.anvilvalve.net.ServerCalls
+import okhttp3.Headers.Companion.headersOf
 
 /**
  * Calls backend servers, each call on its own connection, so that late bytes of one answer cannot get into another.
@@ -16,36 +13,26 @@
  * this header may end an answer of unknown length with its connection where it would have sent chunks. A crash between
  * two events then looks like the end of the answer.
  */
-internal class UpstreamClient(private val client: OkHttpClient, private val dialect: RoutingDialect) {
-    /** A call that is ready to be executed once. */
-    class Prepared(val call: Call, private val marker: SentMarker) {
-        /** Whether the first byte may have left this host. */
-        val sent: Boolean get() = marker.sent
-        val executed: Executed get() = marker.executed
-    }
-
+internal class UpstreamClient(private val calls: ServerCalls, private val dialect: RoutingDialect) {
     /** Prepares the call that forwards [received]; null when its target cannot be sent unchanged. */
-    fun prepare(received: ReceivedRequest, server: Backend, outbound: OutboundCall): Prepared? {
-        val url = "http://${server.address}${received.target}".toHttpUrlOrNull() ?: return null
-        if (!url.toString().endsWith(received.target)) return null
-        val marker = SentMarker()
+    fun prepare(received: ReceivedRequest, server: Backend, outbound: OutboundCall): ServerCall? {
+        if (!isSendable(received.target)) return null
         val hasBody = received.body.isNotEmpty() || received.method in BODY_METHODS
-        val request = Request.Builder()
-            .url(url)
-            .headers(dialect.outbound(received.head, outbound))
-            .header("Accept-Encoding", "identity")
-            .method(received.method, if (hasBody) received.body.toRequestBody(null) else null)
-            .tag(SentMarker::class.java, marker)
-            .build()
-        return Prepared(client.newCall(request), marker)
+        val head = dialect.outbound(received.head, outbound).newBuilder().set("Accept-Encoding", "identity").build()
+        val body = if (hasBody) received.body else null
+        return calls.create(CallRequest(server.address, received.method, received.target, head, body))
     }
 
-    /** Creates the call that releases [handle] at [server]; null when the handle is not valid in a URL. */
-    fun releaseHandle(server: Backend, handle: String): Call? {
-        val url = "http://${server.address}${dialect.handlePath(handle)}".toHttpUrlOrNull() ?: return null
-        return client.newCall(Request.Builder().url(url).header("Connection", "close").delete().build())
+    /** Creates the call that releases [handle] at [server]; null when the handle is not valid in a request. */
+    fun releaseHandle(server: Backend, handle: String): ServerCall? {
+        val target = dialect.handlePath(handle)
+        if (!isSendable(target)) return null
+        return calls.create(CallRequest(server.address, "DELETE", target, headersOf("Connection", "close")))
     }
 
+    /** Whether [target] stays one word in the first line of a request. */
+    private fun isSendable(target: String) = target.startsWith('/') && target.all { it in '!'..'~' }
+
     private companion object {
         val BODY_METHODS = setOf("POST", "PUT", "PATCH")
     }
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/routing/RoutedExchangeSpec.kt
@@ -9,6 +9,9 @@
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.ServiceId
 import io.anvilvalve.host.CallerWatch
+import io.anvilvalve.net.ServerAnswer
+import io.anvilvalve.net.ServerCall
+import io.anvilvalve.net.ServerCalls
 import io.anvilvalve.rules.routing.AttemptResult
 import io.anvilvalve.rules.routing.CallTerms
 import io.anvilvalve.rules.routing.InboundRequest
@@ -20,11 +23,6 @@
 import io.kotest.matchers.shouldBe
 import okhttp3.Headers
 import okhttp3.Headers.Companion.headersOf
-import okhttp3.MediaType.Companion.toMediaType
-import okhttp3.OkHttpClient
-import okhttp3.Protocol
-import okhttp3.Response
-import okhttp3.ResponseBody.Companion.asResponseBody
 import okio.Buffer
 import okio.ForwardingSource
 import okio.buffer
@@ -37,7 +35,7 @@
 private val id = RequestId("r")
 
 /** Dialect without headers of a platform; an answer is always the backend server's own. */
-private class PlainDialect : RoutingDialect {
+internal class PlainDialect : RoutingDialect {
     override val reportPath = "/report"
     override val orderPath = "/order"
     override val readinessPath = "/ready"
@@ -88,18 +86,22 @@
 
     private val server =
         Backend(BackendServerId("b"), ServiceId("s"), "127.0.0.1:1", DataCentreId("dc"), slots = 1)
-    private val client = OkHttpClient.Builder().addInterceptor { chain ->
+    private val calls = ServerCalls { request ->
         val answer = answers[resumedAfter.size]
-        resumedAfter += chain.request().header("Last-Event-Id")
-        Response.Builder()
-            .request(chain.request())
-            .protocol(Protocol.HTTP_1_1)
-            .code(200)
-            .message("OK")
-            .apply { answer.type?.let { header("Content-Type", it) } }
-            .body(source(answer).buffer().asResponseBody(answer.type?.toMediaType(), answer.length))
-            .build()
-    }.build()
+        resumedAfter += request.head["Last-Event-Id"]
+        object : ServerCall {
+            override val sent = true
+
+            override fun execute() = ServerAnswer(
+                status = 200,
+                head = answer.type?.let { headersOf("Content-Type", it) } ?: headersOf(),
+                body = source(answer).buffer(),
+                endsWithConnection = answer.length < 0,
+            )
+
+            override fun close() = Unit
+        }
+    }
 
     val results: List<AttemptResult> get() = events.filterIsInstance<RoutingEvent.AttemptEnded>().map { it.result }
 
@@ -122,7 +124,7 @@
             Unit
         }
         val answer = RoutedAnswer(ctx.res()) { false }
-        exchange = RoutedExchange(id, received, answer, watch, UpstreamClient(client, dialect), dialect, post)
+        exchange = RoutedExchange(id, received, answer, watch, UpstreamClient(calls, dialect), dialect, post)
         exchange.run(InboundRequest(id, "h", "/", key = null, deadline = null, promptTokens = null))
     }
 
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpCalls.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpCalls.kt
@@ -74,8 +74,7 @@
     }
 }
 
-internal fun IOException.toFault(executed: Executed): BackendFault =
-    BackendFault(executed, "${javaClass.simpleName}: ${message.orEmpty()}")
+internal fun IOException.toFault(executed: Executed): BackendFault = BackendFault(executed, reason)
 
 private fun Response.readBody(limit: Int): Either<BackendFault, HttpReply> = use {
     try {
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
@@ -18,9 +18,6 @@
     /** More than any answer that is read as a whole, because an answer may consist of one line. */
     private const val MAX_LINE_BYTES = 17 * 1024 * 1024
 
-    /** Many answers at a time must fit the heap of a small host. */
-    private const val MAX_SINGLE_USE_LINE_BYTES = 3 * 1024 * 1024
-
     /**
      * Returns a client that sends each call at most once.
      *
@@ -47,19 +44,6 @@
         .apply { if (cleartext) connectionSpecs(listOf(ConnectionSpec.CLEARTEXT)) }
         .build()
 
-    /**
-     * Returns a client that opens a new connection for each call and has no time-out except the connect time-out.
-     *
-     * On a reused connection, a backend server may send a second response or may close it while a request is in flight.
-     */
-    fun createSingleUse(connectTimeout: Duration, cleartext: Boolean = false): OkHttpClient =
-        create(connectTimeout, Duration.ZERO, cleartext)
-            .newBuilder()
-            .fastFallback(false)
-            .socketFactory(BoundedSockets(MAX_SINGLE_USE_LINE_BYTES))
-            .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
-            .build()
-
     /** Raises the limit of concurrent calls: OkHttp's default of 5 per server would queue streams behind each other. */
     private fun createDispatcher() = Dispatcher().apply {
         maxRequests = MAX_CONCURRENT_CALLS
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/ResponseBodies.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/ResponseBodies.kt
@@ -1,7 +1,7 @@
 package io.anvilvalve.net
 
-import okhttp3.Response
 import okhttp3.ResponseBody
+import okio.BufferedSource
 import java.io.IOException
 
 /**
@@ -10,12 +10,9 @@
  * @throws IOException when the body has more than [limit] bytes or ends early; at most [limit] bytes and one segment are
  * held.
  */
-fun ResponseBody.bytesAtMost(limit: Long): ByteArray {
-    val source = source()
-    if (source.request(limit + 1)) throw IOException("the body exceeds $limit bytes")
-    return source.readByteArray()
-}
+fun ResponseBody.bytesAtMost(limit: Long): ByteArray = source().bytesAtMost(limit)
 
-/** Whether the answer has neither a length nor chunks, so that it ends with its connection. */
-val Response.endsWithConnection: Boolean
-    get() = body.contentLength() < 0 && !header("Transfer-Encoding").equals("chunked", ignoreCase = true)
+internal fun BufferedSource.bytesAtMost(limit: Long): ByteArray {
+    if (request(limit + 1)) throw IOException("the body exceeds $limit bytes")
+    return readByteArray()
+}
--- /dev/null
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/ServerCalls.kt
@@ -0,0 +1,6 @@
+package io.anvilvalve.net
+
+/** Creates calls to servers. */
+fun interface ServerCalls {
+    fun create(request: CallRequest): ServerCall
+}
--- a/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/ResponseBodiesSpec.kt
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/ResponseBodiesSpec.kt
@@ -5,11 +5,11 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import okhttp3.Headers.Companion.headersOf
 import okhttp3.Request
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
-import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
@@ -18,7 +18,7 @@
 private class EndlessServer(start: String, repeated: String) : AutoCloseable {
     val sentBytes = AtomicLong()
     private val server = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
-    val url = "http://127.0.0.1:${server.localPort}/"
+    val address = "127.0.0.1:${server.localPort}"
     private val sender = thread(isDaemon = true) {
         val bytes = repeated.repeat(PIECES).toByteArray()
         try {
@@ -60,10 +60,8 @@
         ).forEach { case ->
             test("${case.name} without end is refused, and the connection is closed") {
                 EndlessServer(case.start, case.repeated).use { server ->
-                    val client = HttpClients.createSingleUse(1.seconds, cleartext = true)
-                    val call = client.newCall(Request.Builder().url(server.url).build())
-                    call.timeout().timeout(CALL_SECONDS, TimeUnit.SECONDS)
-                    shouldThrow<IOException> { call.execute().use { it.body.bytesAtMost(LIMIT) } }
+                    val call = SingleUseCalls(1.seconds).create(CallRequest(server.address, "GET", "/", headersOf()))
+                    shouldThrow<IOException> { call.executeWithin(CALL_TIMEOUT) { it.bytesAtMost(LIMIT) } }
                     server.awaitClosed()
                     withClue("bytes sent, with what the sockets hold") {
                         server.sentBytes.get() shouldBeLessThan LIMIT + SOCKET_BYTES
@@ -86,6 +84,6 @@
         const val SOCKET_BYTES = 16L * 1024 * 1024
 
         /** Ends the call if nothing else does, so that the test fails instead of waiting. */
-        const val CALL_SECONDS = 30L
+        val CALL_TIMEOUT = 30.seconds
     }
 }
--- /dev/null
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/SingleUseCallsSpec.kt
@@ -0,0 +1,124 @@
+package io.anvilvalve.net
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import okhttp3.Headers.Companion.headersOf
+import java.io.IOException
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against answers that are read otherwise than they were sent, and requests that are sent otherwise. */
+class SingleUseCallsSpec :
+    FunSpec({
+        val calls = SingleUseCalls(1.seconds)
+
+        class Received(val status: Int, val body: String, val endsWithConnection: Boolean)
+
+        fun RawServer.call(target: String = "/", method: String = "GET", body: ByteArray? = null): Received =
+            calls.create(CallRequest(address, method, target, headersOf("X-Name", "value"), body))
+                .executeWithin(CALL_TIMEOUT) {
+                    Received(it.status, it.bytesAtMost(LIMIT).decodeToString(), it.endsWithConnection)
+                }
+
+        class Head(val name: String, val answer: String)
+
+        listOf(
+            Head("no answer", ""),
+            Head("a cut status line", "HTTP/1.1 200"),
+            Head("a cut name", "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Len"),
+            Head("a cut value", "HTTP/1.1 200 OK\r\nContent-Length: 0"),
+            Head("a head without its last line end", "HTTP/1.1 200 OK\r\nX-Signature: s\r\n"),
+            Head("a head without a status", "X-Signature: s\r\n\r\nbytes"),
+            Head("a head of another protocol", "SSH-2.0-OpenSSH\r\n\r\nbytes"),
+            Head("a header without a colon", "HTTP/1.1 200 OK\r\nX-Signature s\r\n\r\nbytes"),
+            Head("a header with an impossible name", "HTTP/1.1 200 OK\r\nX-Sign\u0001ature: s\r\n\r\nbytes"),
+            Head("a malformed length", "HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\nbytes"),
+            Head("only an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        ).forEach { case ->
+            test("${case.name} is no answer") {
+                RawServer(case.answer).use { server -> shouldThrow<IOException> { server.call() } }
+            }
+        }
+
+        class Whole(
+            val name: String,
+            val answer: String,
+            val body: String = "bytes",
+            val method: String = "GET",
+            val endsWithConnection: Boolean = false,
+        )
+
+        listOf(
+            Whole("with a length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes and others"),
+            Whole("with chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n"),
+            Whole("with its connection", "HTTP/1.1 200 OK\r\n\r\nbytes", endsWithConnection = true),
+            Whole(
+                "after interim answers",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes",
+            ),
+            Whole("to HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", body = "", method = "HEAD"),
+        ).forEach { case ->
+            test("an answer that ends ${case.name} is read whole") {
+                RawServer(case.answer).use { server ->
+                    val received = server.call(method = case.method)
+                    received.status shouldBe 200
+                    received.body shouldBe case.body
+                    received.endsWithConnection shouldBe case.endsWithConnection
+                }
+            }
+        }
+
+        listOf(
+            "/a'b|c?x='|'",
+            "//double//slash",
+            "/a/../b/./c",
+            "/%7Euser;p=1?q=%20&r=a+b",
+            "/?",
+            "/http://other/",
+        ).forEach { target ->
+            test("the target $target is sent unchanged") {
+                RawServer(EMPTY_ANSWER).use { server ->
+                    server.call(target)
+                    server.heads.single().first() shouldBe "GET $target HTTP/1.1"
+                }
+            }
+        }
+
+        listOf("GET", "POST", "DELETE").forEach { method ->
+            test("a $method request is sent with its body and its headers") {
+                RawServer(EMPTY_ANSWER).use { server ->
+                    server.call(method = method, body = ByteArray(3))
+                    server.heads.single() shouldBe listOf(
+                        "$method / HTTP/1.1",
+                        "X-Name: value",
+                        "Host: ${server.address}",
+                        "Content-Length: 3",
+                    )
+                }
+            }
+        }
+
+        test("a call to a closed port has sent nothing") {
+            val call = calls.create(CallRequest(closedAddress(), "GET", "/", headersOf()))
+            shouldThrow<IOException> { call.use { it.execute() } }
+            call.sent shouldBe false
+        }
+
+        test("a message does not quote a long line") {
+            val answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${"x".repeat(10_000)}\r\n"
+            RawServer(answer).use { server ->
+                val failure = shouldThrow<IOException> { server.call() }
+                failure.reason shouldContain "xxx"
+                (failure.reason.length < 300) shouldBe true
+            }
+        }
+    }) {
+    private companion object {
+        const val LIMIT = 1_000L
+        const val EMPTY_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+        /** Ends a call if nothing else does, so that the test fails instead of waiting. */
+        val CALL_TIMEOUT = 30.seconds
+    }
+}
