Read the answers of engines and plain services to anvilvalved strictly

What callers of anvilvalved would have got: the body of a plain service with bytes missing where its server had lost the end of one chunk and the size of the next, as a whole answer.

Evidence: HttpBackendServerClientSpec "a service answer that ends with its connection and has a broken chunk yields a fault" failed with OkHttp (expected null but actual was "bytes").

Change: HttpBackendServerClient (before OkHttpBackendServerClient) uses SingleUseCalls; a read timeout bounds the gap between two tokens. With no other user left, the marker of sent bytes and the cleartext option of the OkHttp client are removed.

--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/router/BenchFleet.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/router/BenchFleet.kt
@@ -17,8 +17,7 @@
 import io.anvilvalve.api.release.ReleaseNote
 import io.anvilvalve.api.release.Role
 import io.anvilvalve.host.EntryHost
-import io.anvilvalve.net.HttpClients
-import io.anvilvalve.net.OkHttpBackendServerClient
+import io.anvilvalve.net.HttpBackendServerClient
 import io.anvilvalve.settings.HostSettings
 import io.anvilvalve.standins.FakeLiveHostList
 import io.anvilvalve.standins.FakeLogService
@@ -33,7 +32,6 @@
     private val prefill = engine("prefill", Role.PREFILL)
     private val decode = engine("decode", Role.DECODE)
     private val log = FakeLogService()
-    private val http = HttpClients.create()
     private val host = entryHost()
 
     val hostAddress: String get() = "127.0.0.1:${host.callerPort}"
@@ -48,8 +46,6 @@
 
     override fun close() {
         host.close()
-        http.dispatcher.executorService.shutdown()
-        http.connectionPool.evictAll()
         listOf(prefill, decode).forEach { it.close() }
         directory.toFile().deleteRecursively()
     }
@@ -73,7 +69,7 @@
             HostSettings.Peers(token, "127.0.0.1", port = 0),
             HostSettings.Callers("127.0.0.1", port = 0),
         )
-        return EntryHost(settings, log, FakeLiveHostList(lag = Duration.ZERO), OkHttpBackendServerClient(http))
+        return EntryHost(settings, log, FakeLiveHostList(lag = Duration.ZERO), HttpBackendServerClient())
     }
 
     private fun note(): ReleaseNote {
--- a/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/router/RouterBench.kt
+++ b/anvilvalve-bench/src/main/kotlin/io/anvilvalve/bench/router/RouterBench.kt
@@ -3,8 +3,8 @@
 import io.anvilvalve.api.id.ModelId
 import io.anvilvalve.api.id.RequestId
 import io.anvilvalve.api.port.EngineRequest
+import io.anvilvalve.net.HttpBackendServerClient
 import io.anvilvalve.net.HttpClients
-import io.anvilvalve.net.OkHttpBackendServerClient
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.onEach
 import kotlinx.coroutines.runBlocking
@@ -18,7 +18,7 @@
 /** Measures one entry host. Callers run in this process on separate threads, whose usage is not counted. */
 internal class RouterBench : AutoCloseable {
     private val http = HttpClients.create()
-    private val direct = OkHttpBackendServerClient(http)
+    private val direct = HttpBackendServerClient()
     private val callerThreads = ConcurrentLinkedQueue<Thread>()
     private val callers = Executors.newFixedThreadPool(CALLERS) { work ->
         Thread(work, "bench-caller").also { callerThreads += it }
--- a/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/DemoFleet.kt
+++ b/anvilvalve-demo/src/main/kotlin/io/anvilvalve/demo/DemoFleet.kt
@@ -8,8 +8,8 @@
 import io.anvilvalve.api.port.LiveHost
 import io.anvilvalve.demo.DemoHost.Companion.LOOPBACK
 import io.anvilvalve.host.EntryHost
+import io.anvilvalve.net.HttpBackendServerClient
 import io.anvilvalve.net.HttpClients
-import io.anvilvalve.net.OkHttpBackendServerClient
 import io.anvilvalve.net.OkHttpLiveHostList
 import io.anvilvalve.net.OkHttpLogService
 import io.anvilvalve.settings.HostSettings
@@ -38,7 +38,7 @@
     suspend fun start(): Duration {
         Files.writeString(tokenFile, operatorToken)
         Files.writeString(secretFile, UUID.randomUUID().toString())
-        standins.warmUp(OkHttpBackendServerClient(http))
+        standins.warmUp(HttpBackendServerClient())
         hosts.forEach { it.host.start() }
         hosts.forEachIndexed { index, host -> standins.liveList.put(liveHost(index, host)) }
         append(LogRecord.Note(DemoRelease.firstNote(standins)))
@@ -82,7 +82,7 @@
             settings,
             OkHttpLogService(client, settings.logUrl),
             OkHttpLiveHostList(client, settings.liveListUrl),
-            OkHttpBackendServerClient(client),
+            HttpBackendServerClient(),
         )
         return DemoHost("host-$number", host)
     }
--- a/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/DaemonCommand.kt
+++ b/anvilvalve-host/src/main/kotlin/io/anvilvalve/host/DaemonCommand.kt
@@ -9,8 +9,8 @@
 import com.github.ajalt.clikt.parameters.types.path
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.net.EngineTimeouts
+import io.anvilvalve.net.HttpBackendServerClient
 import io.anvilvalve.net.HttpClients
-import io.anvilvalve.net.OkHttpBackendServerClient
 import io.anvilvalve.net.OkHttpLiveHostList
 import io.anvilvalve.net.OkHttpLogService
 import io.anvilvalve.settings.HostSettings
@@ -66,7 +66,7 @@
             settings,
             OkHttpLogService(http, settings.logUrl),
             OkHttpLiveHostList(http, settings.liveListUrl),
-            OkHttpBackendServerClient(http, timeouts),
+            HttpBackendServerClient(timeouts),
         )
     }
 
--- a/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/EndToEndSpec.kt
+++ b/anvilvalve-host/src/test/kotlin/io/anvilvalve/host/EndToEndSpec.kt
@@ -18,8 +18,8 @@
 import io.anvilvalve.api.release.ReleaseNote
 import io.anvilvalve.api.release.Role
 import io.anvilvalve.api.release.Route
+import io.anvilvalve.net.HttpBackendServerClient
 import io.anvilvalve.net.HttpClients
-import io.anvilvalve.net.OkHttpBackendServerClient
 import io.anvilvalve.net.OkHttpLiveHostList
 import io.anvilvalve.net.OkHttpLogService
 import io.anvilvalve.settings.HostSettings
@@ -90,7 +90,7 @@
                 ),
                 log,
                 OkHttpLiveHostList(client, "http://${liveServer.address}"),
-                OkHttpBackendServerClient(client),
+                HttpBackendServerClient(),
             )
             val note = ReleaseNote(
                 NoteId("n1"),
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpCalls.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpCalls.kt
@@ -9,7 +9,6 @@
 import kotlinx.serialization.json.Json
 import okhttp3.Call
 import okhttp3.Callback
-import okhttp3.EventListener
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -30,28 +29,6 @@
 
 internal fun jsonBody(text: String): RequestBody = text.toRequestBody(jsonType)
 
-/** Records whether any byte of a request may have left the host. */
-class SentMarker {
-    @Volatile
-    var sent: Boolean = false
-        internal set
-
-    /** Whether the server may have executed a call that failed. */
-    val executed: Executed get() = if (sent) Executed.UNKNOWN else Executed.NO
-}
-
-/** Marks a call as sent immediately before its headers are written. */
-internal object SentListenerFactory : EventListener.Factory {
-    override fun create(call: Call): EventListener {
-        val marker = call.request().tag(SentMarker::class.java) ?: return EventListener.NONE
-        return object : EventListener() {
-            override fun requestHeadersStart(call: Call) {
-                marker.sent = true
-            }
-        }
-    }
-}
-
 /** A fully read HTTP response. */
 internal class HttpReply(val status: Int, val contentType: String?, val body: ByteArray) {
     val text: String get() = body.decodeToString()
@@ -59,14 +36,13 @@
 
 /** Performs [request] and fails on a response body over [limit] bytes; cancelling the coroutine cancels the call. */
 internal suspend fun OkHttpClient.exchange(request: Request, limit: Int): Either<BackendFault, HttpReply> {
-    val marker = SentMarker()
-    val call = newCall(request.newBuilder().tag(SentMarker::class.java, marker).build())
+    val call = newCall(request)
     return suspendCancellableCoroutine { continuation ->
         continuation.invokeOnCancellation { call.cancel() }
         call.enqueue(
             object : Callback {
                 override fun onFailure(call: Call, e: IOException) =
-                    continuation.resume(e.toFault(marker.executed).left())
+                    continuation.resume(e.toFault(Executed.UNKNOWN).left())
 
                 override fun onResponse(call: Call, response: Response) = continuation.resume(response.readBody(limit))
             },
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
@@ -1,7 +1,6 @@
 package io.anvilvalve.net
 
 import okhttp3.ConnectionPool
-import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
 import java.util.concurrent.TimeUnit
@@ -22,27 +21,20 @@
      * Returns a client that sends each call at most once.
      *
      * By default, OkHttp retries calls on connection failures and follows redirects; either may execute a call twice.
-     *
-     * @param cleartext whether the client only calls plain HTTP; it then loads no trust store at the start.
      */
-    fun create(
-        connectTimeout: Duration = 1.seconds,
-        readTimeout: Duration = 10.seconds,
-        cleartext: Boolean = false,
-    ): OkHttpClient = OkHttpClient.Builder()
-        .retryOnConnectionFailure(false)
-        .followRedirects(false)
-        .followSslRedirects(false)
-        .connectTimeout(connectTimeout.toJavaDuration())
-        .readTimeout(readTimeout.toJavaDuration())
-        .writeTimeout(readTimeout.toJavaDuration())
-        .dispatcher(createDispatcher())
-        .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
-        .eventListenerFactory(SentListenerFactory)
-        .addNetworkInterceptor(FramingCheck)
-        .socketFactory(BoundedSockets(MAX_LINE_BYTES))
-        .apply { if (cleartext) connectionSpecs(listOf(ConnectionSpec.CLEARTEXT)) }
-        .build()
+    fun create(connectTimeout: Duration = 1.seconds, readTimeout: Duration = 10.seconds): OkHttpClient =
+        OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .followSslRedirects(false)
+            .connectTimeout(connectTimeout.toJavaDuration())
+            .readTimeout(readTimeout.toJavaDuration())
+            .writeTimeout(readTimeout.toJavaDuration())
+            .dispatcher(createDispatcher())
+            .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+            .addNetworkInterceptor(FramingCheck)
+            .socketFactory(BoundedSockets(MAX_LINE_BYTES))
+            .build()
 
     /** Raises the limit of concurrent calls: OkHttp's default of 5 per server would queue streams behind each other. */
     private fun createDispatcher() = Dispatcher().apply {
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/SingleUseCall.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/SingleUseCall.kt
@@ -19,7 +19,11 @@
 import kotlin.time.Duration
 
 /** A call on a connection that is opened for it. */
-internal class SingleUseCall(private val request: CallRequest, private val connectTimeout: Duration) : ServerCall {
+internal class SingleUseCall(
+    private val request: CallRequest,
+    private val connectTimeout: Duration,
+    private val readTimeout: Duration,
+) : ServerCall {
     private val socket = Socket()
 
     @Volatile
@@ -42,13 +46,20 @@
         throw malformed(e)
     }
 
-    override fun close() = socket.close()
+    override fun close() {
+        try {
+            socket.close()
+        } catch (_: IOException) {
+            // The answer has been read, or whoever reads it gets the failure.
+        }
+    }
 
     private fun connect() {
         val host = request.address.substringBeforeLast(':')
         val port = request.address.substringAfterLast(':').toIntOrNull()
         if (port == null) throw ProtocolException("the address ${request.address} has no port")
         socket.tcpNoDelay = true
+        socket.soTimeout = readTimeout.inWholeMilliseconds.toInt()
         socket.connect(InetSocketAddress(host, port), connectTimeout.inWholeMilliseconds.toInt())
     }
 
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/SingleUseCalls.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/SingleUseCalls.kt
@@ -5,9 +5,12 @@
 /**
  * Calls servers over HTTP/1.1: each call is sent once, on a connection of its own.
  *
- * On a reused connection, a server may send a second answer or may close it while a request is in flight. A call has no
- * timeout but [connectTimeout]; [ServerCall.close] ends it.
+ * On a reused connection, a server may send a second answer or may close it while a request is in flight. The duration of a
+ * call as a whole has no limit; [ServerCall.close] ends it.
+ *
+ * @param readTimeout time without any bytes after which a call fails; zero for none.
  */
-class SingleUseCalls(private val connectTimeout: Duration) : ServerCalls {
-    override fun create(request: CallRequest): ServerCall = SingleUseCall(request, connectTimeout)
+class SingleUseCalls(private val connectTimeout: Duration, private val readTimeout: Duration = Duration.ZERO) :
+    ServerCalls {
+    override fun create(request: CallRequest): ServerCall = SingleUseCall(request, connectTimeout, readTimeout)
 }
--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/TokenFlow.kt
@@ -19,10 +19,6 @@
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
-import okhttp3.Call
-import okhttp3.OkHttpClient
-import okhttp3.Request
-import okhttp3.Response
 import java.io.IOException
 
 private const val MAX_ERROR_BYTES = 4_096L
@@ -46,42 +42,41 @@
 }
 
 /** Streams the tokens of [request]; reads on the collector's thread. Cancelling the collector cancels the call. */
-internal fun tokenFlow(client: OkHttpClient, request: Request): Flow<Either<BackendFault, TokenChunk>> = flow {
-    val marker = SentMarker()
-    val call = client.newCall(request.newBuilder().tag(SentMarker::class.java, marker).build())
-    coroutineScope {
-        val callCancellation = launchCallCancellation(call)
-        tryRead(marker) { call.execute() }.fold({ emit(it.left()) }, { response -> response.use { emitTokens(it) } })
-        callCancellation.cancel()
+internal fun tokenFlow(calls: ServerCalls, request: CallRequest): Flow<Either<BackendFault, TokenChunk>> = flow {
+    calls.create(request).use { call ->
+        coroutineScope {
+            val callCancellation = launchCallCancellation(call)
+            tryRead(call::executed) { call.execute() }.fold({ emit(it.left()) }, { emitTokens(it) })
+            callCancellation.cancel()
+        }
     }
 }
 
 /** Converts an [IOException] of [read] only: an exception of the collector must pass through the flow unchanged. */
-private suspend fun <T> tryRead(marker: SentMarker, read: () -> T): Either<BackendFault, T> = try {
+private suspend fun <T> tryRead(executed: () -> Executed, read: () -> T): Either<BackendFault, T> = try {
     read().right()
 } catch (e: IOException) {
     currentCoroutineContext().ensureActive()
-    e.toFault(marker.executed).left()
+    e.toFault(executed()).left()
 }
 
 /** Starts a coroutine that cancels [call] on cancellation, which a blocking read does not notice. */
-private fun CoroutineScope.launchCallCancellation(call: Call): Job = launch(Dispatchers.Default) {
+private fun CoroutineScope.launchCallCancellation(call: ServerCall): Job = launch(Dispatchers.Default) {
     try {
         awaitCancellation()
     } finally {
-        call.cancel()
+        call.close()
     }
 }
 
-private suspend fun FlowCollector<Either<BackendFault, TokenChunk>>.emitTokens(response: Response) {
-    if (response.code != STATUS_OK) {
-        return emit(statusFault(response.code, response.errorText()).left())
+private suspend fun FlowCollector<Either<BackendFault, TokenChunk>>.emitTokens(answer: ServerAnswer) {
+    if (answer.status != STATUS_OK) {
+        return emit(statusFault(answer.status, answer.errorText()).left())
     }
-    val marker = SentMarker().apply { sent = true }
-    val events = SseReader(response.body.source())
+    val events = SseReader(answer.body)
     var last = false
     while (!last) {
-        val data = tryRead(marker) { events.next() }
+        val data = tryRead({ Executed.UNKNOWN }) { events.next() }
         if (data.isRight { it == null || it == DONE_MARKER }) return
         val chunk = data.flatMap { parseChunk(it.orEmpty()) }
         emit(chunk)
@@ -89,10 +84,9 @@
     }
 }
 
-private fun Response.errorText(): String = try {
-    val source = body.source()
-    source.request(MAX_ERROR_BYTES)
-    source.buffer.readUtf8(minOf(MAX_ERROR_BYTES, source.buffer.size))
+private fun ServerAnswer.errorText(): String = try {
+    body.request(MAX_ERROR_BYTES)
+    body.buffer.readUtf8(minOf(MAX_ERROR_BYTES, body.buffer.size))
 } catch (e: IOException) {
     "unreadable error body: ${e.message}"
 }
--- a/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/OkHttpBackendServerClientSpec.kt
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/HttpBackendServerClientSpec.kt
@@ -25,9 +25,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Guards against calls sent twice, executed calls reported as not executed, and misread token streams. */
-class OkHttpBackendServerClientSpec :
+class HttpBackendServerClientSpec :
     FunSpec({
-        val client = OkHttpBackendServerClient(HttpClients.create())
+        val client = HttpBackendServerClient()
         val kv =
             KvHandle(engineId = "e", requestId = "r", host = "127.0.0.1", port = 9, pieces = 1, expiresMillis = 700)
         val kvJson = """{"do_remote_prefill":true,"remote_engine_id":"e","remote_request_id":"r",""" +
@@ -126,19 +126,32 @@
             }
         }
 
-        class Ending(val name: String, val head: String, val reset: Boolean, val body: String?)
+        class Ending(
+            val name: String,
+            val head: String,
+            val reset: Boolean,
+            val body: String?,
+            val sent: String = "bytes",
+        )
 
         listOf(
             Ending("is closed", "", reset = false, body = "bytes"),
             Ending("is reset", "", reset = true, body = null),
             Ending("has a malformed length", "Content-Length: 5x\r\n", reset = false, body = null),
+            Ending(
+                "has a broken chunk",
+                "Transfer-Encoding: chunked\r\n",
+                reset = false,
+                body = null,
+                "4\r\nbytexx\r\n1\r\ns\r\n0\r\n\r\n",
+            ),
         ).forEach { case ->
             test("a service answer that ends with its connection and ${case.name} yields ${case.body ?: "a fault"}") {
                 ServerSocket(0).use { listener ->
                     val server = thread {
                         listener.accept().use {
                             it.getInputStream().read()
-                            it.getOutputStream().write("HTTP/1.1 200 OK\r\n${case.head}\r\nbytes".toByteArray())
+                            it.getOutputStream().write("HTTP/1.1 200 OK\r\n${case.head}\r\n${case.sent}".toByteArray())
                             if (case.reset) it.setSoLinger(true, 0) else it.shutdownOutput()
                             if (!case.reset) it.getInputStream().readAllBytes()
                         }
@@ -198,7 +211,7 @@
 
         test("a stream without further tokens ends with a fault after the token gap time-out") {
             val shortGapClient =
-                OkHttpBackendServerClient(HttpClients.create(), EngineTimeouts(tokenGap = 50.milliseconds))
+                HttpBackendServerClient(EngineTimeouts(tokenGap = 50.milliseconds))
             val release = CountDownLatch(1)
             ScriptedServer { exchange ->
                 exchange.stream(event(0, "a"))
