Guard against calls that the HTTP library sends again

What callers saw: a loan ran twice.

Cause: OkHttp repeats a call once after such an answer, whatever its method; the option that turns retries off does not cover it. The routing rules log one send.

The comment of HttpClients said that its client sends each call at most once; it now says what it does.

--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
@@ -18,9 +18,9 @@
     private const val MAX_LINE_BYTES = 17 * 1024 * 1024
 
     /**
-     * Returns a client that sends each call at most once.
+     * Returns a client that neither retries calls on connection failures nor follows redirects.
      *
-     * By default, OkHttp retries calls on connection failures and follows redirects; either may execute a call twice.
+     * It still repeats a call once after 503 with `Retry-After: 0`; calls that must be sent once use [SingleUseCalls].
      */
     fun create(connectTimeout: Duration = 1.seconds, readTimeout: Duration = 10.seconds): OkHttpClient =
         OkHttpClient.Builder()
--- a/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/SingleUseCallsSpec.kt
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/SingleUseCallsSpec.kt
@@ -69,6 +69,22 @@
             }
         }
 
+        listOf(
+            "503 Service Unavailable\r\nRetry-After: 0",
+            "408 Request Timeout",
+            "421 Misdirected Request",
+            "401 Unauthorized\r\nWWW-Authenticate: Basic realm=\"r\"",
+            "307 Temporary Redirect\r\nLocation: /elsewhere",
+            "308 Permanent Redirect\r\nLocation: /elsewhere",
+        ).forEach { answer ->
+            test("a call that is answered ${answer.replace("\r\n", ", ")} is sent once") {
+                RawServer("HTTP/1.1 $answer\r\nContent-Length: 0\r\n\r\n").use { server ->
+                    server.call(method = "POST", body = ByteArray(3)).status shouldBe answer.take(3).toInt()
+                    server.heads.size shouldBe 1
+                }
+            }
+        }
+
         listOf(
             "/a'b|c?x='|'",
             "//double//slash",
