Name the limit of a call that is not done in time

Operators would have read "SocketException: Socket closed" in STORE_LOST and in other log lines of calls that reached their limit, because a timeout closes the connection. The reason is now "SocketTimeoutException: not done after 1s".

SingleUseCallsSpec "a call that is not done in time names the limit" covers it.

--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/CallTimeouts.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/CallTimeouts.kt
@@ -2,6 +2,7 @@
 
 import okio.AsyncTimeout
 import java.io.IOException
+import java.net.SocketTimeoutException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
@@ -15,6 +16,9 @@
     timeout.enter()
     try {
         read(execute())
+    } catch (e: IOException) {
+        // The closed connection is only the effect of the timeout.
+        throw if (timeout.exit()) SocketTimeoutException("not done after $limit").apply { initCause(e) } else e
     } finally {
         timeout.exit()
     }
--- a/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/SingleUseCallsSpec.kt
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/SingleUseCallsSpec.kt
@@ -6,6 +6,10 @@
 import io.kotest.matchers.string.shouldContain
 import okhttp3.Headers.Companion.headersOf
 import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.SocketTimeoutException
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against answers that are read otherwise than they were sent, and requests that are sent otherwise. */
@@ -115,6 +119,14 @@
             }
         }
 
+        test("a call that is not done in time names the limit") {
+            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { silent ->
+                val call = calls.create(CallRequest("127.0.0.1:${silent.localPort}", "GET", "/", headersOf()))
+                val failure = shouldThrow<SocketTimeoutException> { call.executeWithin(50.milliseconds) { } }
+                failure.reason shouldBe "SocketTimeoutException: not done after 50ms"
+            }
+        }
+
         test("a call to a closed port has sent nothing") {
             val call = calls.create(CallRequest(closedAddress(), "GET", "/", headersOf()))
             shouldThrow<IOException> { call.use { it.execute() } }
