Send appends to the log service once

What operators would have seen: a note or another record that the log service holds twice, where it had answered 503 with Retry-After: 0 after the append.

The clients that stay with OkHttp (log service, live hosts, the command line) did not turn it off, though HttpClients.create promises to send each call at most once. No user has reported it.

Evidence: OkHttpPlatformSpec "an append that is answered 503 with Retry-After: 0 is sent once, because it could land twice" failed before (expected 1, actual 2).

Change: an interceptor removes the header from 503 answers before OkHttp acts on it; no caller of these clients reads it.

--- a/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
+++ b/anvilvalve-net/src/main/kotlin/io/anvilvalve/net/HttpClients.kt
@@ -18,9 +18,10 @@
     private const val MAX_LINE_BYTES = 17 * 1024 * 1024
 
     /**
-     * Returns a client that neither retries calls on connection failures nor follows redirects.
+     * Returns a client that sends each call at most once.
      *
-     * It still repeats a call once after 503 with `Retry-After: 0`; calls that must be sent once use [SingleUseCalls].
+     * By default, OkHttp retries calls on connection failures, follows redirects and repeats a call after 503 with
+     * `Retry-After: 0`; each of these may execute a call twice.
      */
     fun create(connectTimeout: Duration = 1.seconds, readTimeout: Duration = 10.seconds): OkHttpClient =
         OkHttpClient.Builder()
@@ -33,6 +34,7 @@
             .dispatcher(createDispatcher())
             .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
             .addNetworkInterceptor(FramingCheck)
+            .addNetworkInterceptor(NoFollowUp)
             .socketFactory(BoundedSockets(MAX_LINE_BYTES))
             .build()
 
--- a/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/OkHttpPlatformSpec.kt
+++ b/anvilvalve-net/src/test/kotlin/io/anvilvalve/net/OkHttpPlatformSpec.kt
@@ -41,6 +41,20 @@
             read(200, page(6, 8, 6, 7)) shouldBe LogFault.Truncated(LogOffset(6)).left()
         }
 
+        listOf("503" to "0", "503" to "1", "408" to "0", "429" to "0").forEach { (status, wait) ->
+            test(
+                "an append that is answered $status with Retry-After: $wait is sent once, because it could land twice",
+            ) {
+                ScriptedServer {
+                    it.responseHeaders.add("Retry-After", wait)
+                    it.reply(status.toInt(), "")
+                }.use { server ->
+                    OkHttpLogService(http, server.url).append(listOf(byteArrayOf(1))).isLeft() shouldBe true
+                    server.requests.size shouldBe 1
+                }
+            }
+        }
+
         listOf(
             "a gap in the offsets" to page(0, 9, 5, 7),
             "a page that starts after the requested offset" to page(0, 9, 6),
