--- a/review/lib-2/Host.java
+++ b/review/lib-2/Host.java
@@ -48,6 +48,8 @@
         builder.environment().put("ANVILVALVE_BOOT", ini.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString())));
         process = builder.start();
+        // Also if the script is stopped.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> process.destroyForcibly()));
     }
 
     /** Starts the process again, with the same settings. */
