--- a/review/lib-3/Desk.java
+++ b/review/lib-3/Desk.java
@@ -1,4 +1,6 @@
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Workers of a plain service `desk`, and a configuration with one route to it. */
 final class Desk {
@@ -8,10 +10,12 @@
 
     private Desk() {}
 
-    static void start(Store store, String net, int count, Worker.Behaviour behaviour) throws IOException {
+    static List<Worker> start(Store store, String net, int count, Worker.Behaviour behaviour) throws IOException {
+        List<Worker> workers = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            new Worker(store, net + (10 + i), "i-" + i, "desk", "tacoma", 6, null, behaviour);
+            workers.add(new Worker(store, net + (10 + i), "i-" + i, "desk", "tacoma", 6, null, behaviour));
         }
+        return workers;
     }
 
     static String configuration(int version, String kind, int timeoutMs, int maxAttempts) {
--- a/review/lib-3/Store.java
+++ b/review/lib-3/Store.java
@@ -39,10 +39,12 @@
 
     /** Writes a record of a keyed topic; an empty value removes the key. */
     void put(String topic, String key, String value) {
-        byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
-        byte[] valueBytes = value.getBytes(StandardCharsets.UTF_8);
-        byte[] record = ByteBuffer.allocate(1 + keyBytes.length + valueBytes.length)
-            .put((byte) keyBytes.length).put(keyBytes).put(valueBytes).array();
+        put(topic, key.getBytes(StandardCharsets.UTF_8), value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void put(String topic, byte[] key, byte[] value) {
+        byte[] record = ByteBuffer.allocate(1 + key.length + value.length)
+            .put((byte) key.length).put(key).put(value).array();
         append(topic, List.of(record));
     }
 
--- a/review/lib-3/Worker.java
+++ b/review/lib-3/Worker.java
@@ -29,6 +29,7 @@
     private final AtomicLong heartbeats = new AtomicLong();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
+    private volatile String state = "ready";
 
     Worker(Store store, String address, String id, String service, String zone, int slots, String stage,
         Behaviour behaviour) throws IOException {
@@ -79,16 +80,26 @@
         for (Socket socket : open) socket.close();
     }
 
+    /** Reports that the worker leaves; it goes on to serve. Returns when the store has accepted the report. */
+    void leave() {
+        state = "draining";
+        write();
+    }
+
     private void register() {
         while (!closed) {
-            store.put("keyed.servers", id, "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\""
-                + zone + "\",\"version\":1,\"slots\":" + slots + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":"
-                + heartbeats.incrementAndGet() + ",\"born\":" + born
-                + (stage == null ? "" : ",\"stage\":\"" + stage + "\"") + "}");
+            write();
             Threads.sleep(1_200);
         }
     }
 
+    private void write() {
+        store.put("keyed.servers", id, "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + zone
+            + "\",\"version\":1,\"slots\":" + slots + ",\"state\":\"" + state + "\",\"coldRemainingMs\":0,\"sequence\":"
+            + heartbeats.incrementAndGet() + ",\"born\":" + born
+            + (stage == null ? "" : ",\"stage\":\"" + stage + "\"") + "}");
+    }
+
     private void acceptAll() {
         while (true) {
             try {
