--- a/review/lib-3/Crowd.java
+++ b/review/lib-3/Crowd.java
@@ -22,6 +22,7 @@
     private final AtomicInteger opened = new AtomicInteger();
     private final Set<SocketChannel> open = new HashSet<>();
     private volatile boolean ended;
+    private volatile boolean failed;
 
     Crowd(Host host, int clients, byte[] bytes) {
         address = new InetSocketAddress(host.ip(), host.frontend());
@@ -33,6 +34,11 @@
         return opened.get();
     }
 
+    /** Whether the crowd could not be kept up, for example for want of descriptors. */
+    boolean hasFailed() {
+        return failed;
+    }
+
     /** Closes all connections. */
     void end() {
         ended = true;
@@ -50,7 +56,7 @@
             }
             for (SocketChannel channel : open) channel.close();
         } catch (IOException e) {
-            throw new IllegalStateException(e);
+            failed = true;
         }
     }
 
--- a/review/lib-3/HeaderCrowdCase.java
+++ b/review/lib-3/HeaderCrowdCase.java
@@ -59,6 +59,7 @@
             + failed + ", readiness " + host.readiness());
         sleepUntil(start, RUN_MILLIS);
         for (Thread caller : callers) caller.join(6_000);
+        if (trouble && (crowd.hasFailed() || crowd.opened() < CLIENTS / 2)) return NOT_RUN;
         boolean ended = !host.isAlive();
         for (String line : host.logLines("OutOfMemory")) journal.write("log of the host: " + line);
         journal.write((ended ? "the process has ended by itself" : "readiness " + host.readiness()) + "; of " + judged
--- a/review/lib-3/Host.java
+++ b/review/lib-3/Host.java
@@ -67,6 +67,8 @@
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         process = builder.start();
+        // A script that is stopped must not leave its processes behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     /** Waits until the host says that it is ready; returns whether it did in [millis]. */
