--- a/review/lib-3/QuotaCase.java
+++ b/review/lib-3/QuotaCase.java
@@ -8,18 +8,18 @@
 
 /** Configurations in quick succession withdraw a tenant and put it back; then the tenant sends many times its usual. */
 public final class QuotaCase extends Case {
-    private static final int HOSTS = 4;
+    private static final int HOSTS = 7;
     private static final int REQUEST_TOKENS = 5_070;
     private static final double RATE = 21_600;
     private static final double BURST = 40_000;
     private static final double WINDOW_S = 8;
     private static final double LIMIT = (RATE * WINDOW_S + BURST) * 1.1 + 120_000;
-    private static final long STEADY_MILLIS = 45_000;
+    private static final long STEADY_MILLIS = 75_000;
     private static final long FLOOD_MILLIS = 6_500;
 
     /** Time between two versions of the configuration, and the number of versions. */
-    private static final long STORM_GAP_MILLIS = 60;
-    private static final int STORM_VERSIONS = 25;
+    private static final long STORM_GAP_MILLIS = 220;
+    private static final int STORM_VERSIONS = 19;
 
     private record Run(long sentAt, long arrivedAt) {}
 
