Log what each call costs its organisation and how old the known usage is

Refusals were the only events that name the usage of an organisation, so the logs cannot tell whether hosts admit by old sums, without coordinators, or after a restart with too little restored usage. REQUEST_SENT now has the organisation, the tokens, the known usage and its age; refusals by a quota have the share of the quotas that the host uses. No decision changes.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Coordinators.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Coordinators.kt
@@ -59,6 +59,10 @@
             else -> minOf(peers.aliveShare, totalsShare ?: (1.0 / (peers.size + 1)))
         }
 
+    /** Time since this host received the usage of the others; null if it never has. */
+    val usageAge: Duration?
+        get() = if (isDirect || hearsMost) peers.oldestReportAge else coverages.lastOrNull()?.let { out.now - it.at }
+
     /** Share of all hosts in the most complete totals; null if no coordinator that hears this host sends any. */
     private val totalsShare: Double?
         get() = coverages
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Peers.kt
@@ -242,6 +242,10 @@
         return (count + 1.0) / (size + 1)
     }
 
+    /** Time since the latest report of the alive host that has reported least recently; null if none has reported. */
+    val oldestReportAge: Duration?
+        get() = all.filter(::isAlive).mapNotNull { peer -> peer.lastReportAt?.let { out.now - it } }.maxOrNull()
+
     /** Share of all hosts that are alive, including this host. */
     val aliveShare: Double get() = (size + 1.0 - silentCount) / (size + 1)
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAdmission.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAdmission.kt
@@ -104,6 +104,7 @@
             "rate" to refusal.organisation?.ratePerSecond,
             "burst" to refusal.organisation?.burst,
             "retry_after_ms" to refusal.retryAfter?.inWholeMilliseconds,
+            *if (refusal.organisation == null) emptyArray() else quotas.stateFields(),
         )
         out.emit(RoutingEffect.Refuse(request.id, refusal.code, refusal.retryAfter))
         out.emit(RoutingEffect.Measure(RequestOutcome(null, null, refusal.code, null, Duration.ZERO)))
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuotas.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/SharedQuotas.kt
@@ -8,6 +8,7 @@
 import io.anvilvalve.api.result.LogEvent
 import io.anvilvalve.api.routing.OrganisationRule
 import io.anvilvalve.api.routing.RecordedUsage
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 
 /** Quotas of all organisations, enforced by all hosts together. */
@@ -107,10 +108,17 @@
     fun reserve(rule: OrganisationRule, cost: Int): Either<Duration, QuotaReservation?> {
         val quota = quotas[rule.quotaId]?.takeIf { it.isLimited } ?: return null.right()
         val share = coordinators.fleetShare
+        val used = quota.used(out.now)
         if (!quota.tryReserve(cost, share, out.now)) return quota.waitFor(cost, share, out.now).left()
-        return QuotaReservation(quota.id, cost, out.now).right()
+        return QuotaReservation(quota.id, cost, out.now, used, coordinators.usageAge).right()
     }
 
+    /** Log fields with the share of the quotas that this host may use, and the age of what it knows of the others. */
+    fun stateFields(): Array<Pair<String, Any?>> = arrayOf(
+        "quota_share" to (coordinators.fleetShare * PERCENT).roundToInt() / PERCENT,
+        "usage_age_ms" to coordinators.usageAge?.inWholeMilliseconds,
+    )
+
     /** Tokens that all hosts admitted for [rule] in the last window, as far as this host knows. */
     fun used(rule: OrganisationRule): Long? = quotas[rule.quotaId]?.used(out.now)
 
@@ -198,6 +206,8 @@
     private fun knownNow(usage: SharedUsage, age: Duration): Long = (usage.known * (1.0 - age / terms.window)).toLong()
 
     private companion object {
+        const val PERCENT = 100.0
+
         /** A record of 60 organisations takes about 8 KB; the slack covers the smaller quotas. */
         const val MAX_RECORDS = 60
     }
