--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
@@ -41,6 +41,9 @@
         var isFrozen = false
         var readsStore = true
 
+        /** Time by which this host handles messages late. */
+        var lag = Duration.ZERO
+
         /** Messages pass only between hosts on the same side of a cut. */
         var side = 0
         var followsStore = true
@@ -52,9 +55,12 @@
         val versions = ArrayList<Long>()
         var framesSent = 0
         var bytesSent = 0L
-        val received = ArrayDeque<() -> List<RoutingEffect>>()
+        val received = ArrayDeque<Received>()
     }
 
+    /** A message that a host handles at [at] or later. */
+    class Received(val at: Duration, val handle: () -> List<RoutingEffect>)
+
     private class Running(
         val host: Host,
         val ends: Duration,
@@ -276,9 +282,9 @@
 
     private fun deliver() {
         for (host in hosts.filter { it.isAlive && !it.isFrozen }) {
-            val messages = host.received.toList()
-            host.received.clear()
-            messages.forEach { perform(host, it()) }
+            val due = host.received.takeWhile { it.at + host.lag <= now }
+            repeat(due.size) { host.received.removeFirst() }
+            due.forEach { perform(host, it.handle()) }
         }
     }
 
@@ -332,7 +338,7 @@
         host.bytesSent += bytes.size
         if (loses(effect.frame.message) || cut(from, effect.to)) return
         val frame = BinaryCodec.decode(PeerFrame.serializer(), bytes).getOrElse { error(it) }
-        to.received += { to.fixture.receive(from, frame.message) }
+        to.received += Received(now) { to.fixture.receive(from, frame.message) }
     }
 
     private fun forward(host: Host, effect: RoutingEffect.Forward) {
