Read the software version of backend servers and what callers resume

Entries of servers name the version of their software, and callers who take up a stream name the attempt that brought its first event; hosts used neither, and no log had the version. SERVER_CHANGED and REQUEST_SENT now have it, and REQUEST_SENT the resumed attempt. No decision changes.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Directory.kt
@@ -175,6 +175,7 @@
             "server" to next.id,
             "service" to next.service,
             "leaving" to next.leaving,
+            "version" to next.version,
             "stage" to next.stage,
             "offset" to entry.offset,
         )
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DirectoryDigest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DirectoryDigest.kt
@@ -22,7 +22,7 @@
 
     /** The time for which a server remains cold is left out, because it changes with every heartbeat. */
     private fun hash(backend: Backend): Long = with(backend) {
-        listOf(id.value, service.value, address, dataCentre.value, slots, leaving, stage?.name, startedAtMillis)
+        listOf(id.value, service.value, address, dataCentre.value, slots, leaving, stage?.name, startedAtMillis, version)
             .fold(0L) { hash, field -> (hash xor field.toString().hashCode().toLong()) * MULTIPLIER }
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/InboundRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/InboundRequest.kt
@@ -15,6 +15,8 @@
  * @property promptTokens tokens of the prompt; null if the request does not state them.
  * @property outputTokens maximum number of output tokens.
  * @property expectedTokens the caller's estimate of the output tokens; null if the request does not state it.
+ * @property attemptId id that the caller gave this attempt; null if there is none.
+ * @property resumption what the caller resumes; null if it begins anew.
  * @property sharedParts parts of the prompt in their order, without the last, which belongs to the request alone.
  */
 data class InboundRequest(
@@ -27,4 +29,6 @@
     val outputTokens: Int = 0,
     val expectedTokens: Int? = null,
     val sharedParts: List<PromptPartId> = emptyList(),
+    val attemptId: String? = null,
+    val resumption: Resumption? = null,
 )
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAttempts.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAttempts.kt
@@ -283,6 +283,8 @@
             "attempt" to request.attempt,
             "stage" to if (source == null) "whole" else "decode",
             "server" to server.id,
+            "version" to server.version,
+            "resumes" to request.request.resumption?.attemptId,
             "at_server" to loads.requests(server.id),
             "tokens_at_server" to loads.tokens(server.id),
             "waited_ms" to (out.now - request.arrivedAt).inWholeMilliseconds,
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/RoutingFixture.kt
@@ -105,8 +105,22 @@
 internal fun plain(id: String, leaving: Boolean = false, slots: Int = 2, dataCentre: String = "dc-1") =
     Backend(BackendServerId(id), plainService, "$id:80", DataCentreId(dataCentre), slots, leaving)
 
-internal fun engine(id: String, stage: Stage, leaving: Boolean = false, dataCentre: String = "dc-1") =
-    Backend(BackendServerId(id), modelService, "$id:80", DataCentreId(dataCentre), slots = 8, leaving, stage)
+internal fun engine(
+    id: String,
+    stage: Stage,
+    leaving: Boolean = false,
+    dataCentre: String = "dc-1",
+    version: String = "",
+) = Backend(
+    BackendServerId(id),
+    modelService,
+    "$id:80",
+    DataCentreId(dataCentre),
+    slots = 8,
+    leaving,
+    stage,
+    version = version,
+)
 
 internal fun route(
     path: String,
@@ -230,11 +244,22 @@
         deadline: Duration? = null,
         host: String = "maps.example",
         parts: List<String> = emptyList(),
+        attemptId: String? = null,
+        resumption: Resumption? = null,
     ): Arrival {
         val id = RequestId("r${++last}")
-        val shared = parts.map(::PromptPartId)
-        val request =
-            InboundRequest(id, host, path, key, deadline, promptTokens, outputTokens, sharedParts = shared)
+        val request = InboundRequest(
+            id,
+            host,
+            path,
+            key,
+            deadline,
+            promptTokens,
+            outputTokens,
+            sharedParts = parts.map(::PromptPartId),
+            attemptId = attemptId,
+            resumption = resumption,
+        )
         return Arrival(id, send(RoutingEvent.Arrived(request)))
     }
 
