--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/FleetSimulation.kt
@@ -109,6 +109,10 @@
     /** Ids of the servers to which calls were sent. */
     val sentTo = HashSet<String>()
 
+    /** Versions of the servers to which the attempts with an id were sent. */
+    val versionsOf = HashMap<String, MutableList<String>>()
+    private val attemptIds = HashMap<Pair<Host, RequestId>, String>()
+
     /** Times at which calls and prompts were sent, by server. */
     val sentAt = HashMap<String, MutableList<Duration>>()
     var rejected = 0
@@ -140,13 +144,15 @@
             hosts.forEach { it.fixture.now = now }
             deliver()
             endCalls()
-            if (random.nextInt(STEPS_PER_SECOND) < arrivals) arrive(randomHost(), path, cost)
+            if (random.nextInt(STEPS_PER_SECOND) < arrivals) arrive(randomHost(), path, cost = cost)
             if (now.inWholeMilliseconds % TICK_MILLIS == 0L) tick()
         }
     }
 
-    fun arrive(host: Host, path: String, cost: Int = 0) {
-        val arrival = host.fixture.arrive(path, cost, outputTokens = 0)
+    fun arrive(host: Host, path: String, attemptId: String? = null, resumption: Resumption? = null, cost: Int = 0) {
+        val arrival =
+            host.fixture.arrive(path, cost, outputTokens = 0, attemptId = attemptId, resumption = resumption)
+        attemptId?.let { attemptIds[host to arrival.id] = it }
         arrivedAt[host to arrival.id] = now
         perform(host, arrival.effects)
     }
@@ -344,6 +350,7 @@
     private fun forward(host: Host, effect: RoutingEffect.Forward) {
         arrivedAt.remove(host to effect.id)?.let { placementTimes += now - it }
         val server = effect.server
+        attemptIds[host to effect.id]?.let { versionsOf.getOrPut(it) { ArrayList() } += server.version }
         calls.merge(host to server.id, 1, Int::plus)
         recordSend(server)
         if ((occupied[server.id] ?: 0) >= server.slots + serverQueue) {
@@ -355,6 +362,10 @@
         forwarded++
         occupied.merge(server.id, 1, Int::plus)
         val time = (callMillis + random.nextInt(callMillis)).milliseconds
+        if (effect.expectsStream) {
+            val start = RoutingEvent.AnswerStarted(effect.id, effect.attempt)
+            running += Running(host, now + STEP, { start }, server = null)
+        }
         val end = RoutingEvent.AttemptEnded(effect.id, effect.attempt, AttemptResult.Complete)
         running += Running(host, now + time, { end }, server.id)
     }
