Let streams go on only at the software version that began them

Cause: hosts selected servers without regard to their versions, and did not know which version began a stream that a caller takes up. The class of fault is state of a stream that only the host that serves it has.

A request is limited to the version of the server that sent its first event. Hosts tell each other, or the coordinators of a large fleet, which version began each stream; a coordinator selects servers for take-ups by that. A host that does not know a stream goes on with it only if the service has had one version for as long as streams last, as of a read of the entries within the last second; otherwise it answers 503 at once. The versions of that time are kept in the store, so that hosts that have all started again know of versions that left.

--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
@@ -165,6 +165,7 @@
      * @property evacuations evacuations that the sender knows; null before it has read any state of the store.
      * @property drainMillis time for which a sender that stops accepts connections at most; null if it does not stop.
      * @property leaving backend servers that have announced to some host that they leave.
+     * @property streams streams that began at the sender since the previous message.
      */
     @Serializable
     @SerialName("go")
@@ -191,6 +192,7 @@
         @CborLabel(26) val serverStates: List<SharedServerState> = emptyList(),
         @CborLabel(27) val costs: List<CostSample> = emptyList(),
         @CborLabel(24) val evacuations: EvacuationReport? = null,
+        @CborLabel(28) val streams: List<StreamStart> = emptyList(),
     ) : PeerMessage {
         val directoryPosition: StorePosition get() = StorePosition(era, directory)
     }
--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PlacementMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PlacementMessage.kt
@@ -35,6 +35,8 @@
      * @property quotaTokens tokens that the request has reserved in the quota of [organisation] and that no coordinator has
      * confirmed; 0 if there are none.
      * @property usage usage of [organisation] at the host that asks, with [quotaTokens]; null if [quotaTokens] is 0.
+     * @property stream hash code of the stream that the request goes on with, if the host that asks does not know its version.
+     * @property version software version that the server must have; null if there is no such limit.
      */
     @Serializable
     @SerialName("mr")
@@ -57,6 +59,8 @@
         @CborLabel(18) val patienceMillis: Long = Long.MAX_VALUE,
         @CborLabel(19) val quotaTokens: Int = 0,
         @CborLabel(20) val usage: SharedUsage? = null,
+        @CborLabel(21) val stream: Long? = null,
+        @CborLabel(22) val version: String? = null,
     ) : PlacementMessage
 
     /** The request waits for capacity. */
--- /dev/null
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/StreamStart.kt
@@ -0,0 +1,15 @@
+package io.anvilvalve.api.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/**
+ * Tells that a stream began, which its caller may take up at any host.
+ *
+ * @property stream hash code of the organisation and the caller's attempt.
+ * @property version software version of the backend server.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class StreamStart(@CborLabel(1) val stream: Long, @CborLabel(2) val version: String)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DelegatedPlacement.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DelegatedPlacement.kt
@@ -23,6 +23,7 @@
     private val coordinators: Coordinators,
     private val placement: Placement,
     private val quotas: SharedQuotas,
+    private val streams: StreamVersions,
     firstNumber: Long,
     private val send: (Member, PlacementMessage) -> Unit,
 ) {
@@ -45,7 +46,8 @@
         request.delegation = delegation
         asked[delegation.number] = request
         val isPrefilled = request.source != null && out.now < request.sourceExpiresAt
-        val ruledOut = placement.rules.ruledOut(request.service.id, request.need(placement.dataCentre, out.now))
+        val need = request.need(placement.dataCentre, out.now)
+        val ruledOut = placement.rules.ruledOut(request.service.id, need.withoutVersion())
         val needsPrefill = request.service.engine != null && !isPrefilled
         val reservation = request.reservation?.takeUnless { request.isQuotaConfirmed }
         send(
@@ -69,6 +71,8 @@
                 patienceMillis = (request.patienceEndsAt - out.now).inWholeMilliseconds,
                 quotaTokens = reservation?.tokens ?: 0,
                 usage = reservation?.let(quotas::usageOf),
+                stream = if (request.needsStreamVersion) streams.streamOf(request) ?: UNKNOWN_STREAM else null,
+                version = request.streamVersion,
             ),
         )
     }
@@ -152,5 +156,8 @@
 
     private companion object {
         const val MAX_UNANSWERED = 2
+
+        /** No stream has this hash code in practice. */
+        const val UNKNOWN_STREAM = 0L
     }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DirectoryDigest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DirectoryDigest.kt
@@ -22,7 +22,8 @@
 
     /** The time for which a server remains cold is left out, because it changes with every heartbeat. */
     private fun hash(backend: Backend): Long = with(backend) {
-        listOf(id.value, service.value, address, dataCentre.value, slots, leaving, stage?.name, startedAtMillis, version)
+        val place = listOf(id.value, service.value, address, dataCentre.value)
+        (place + listOf(slots, leaving, stage?.name, startedAtMillis, version))
             .fold(0L) { hash, field -> (hash xor field.toString().hashCode().toLong()) * MULTIPLIER }
     }
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/LiveRequest.kt
@@ -78,6 +78,15 @@
     /** Tokens reserved in the quota of the organisation; null if it has no limit. */
     var reservation: QuotaReservation? = null
 
+    /** Software version of the server that began the stream; null if no event has been relayed and none is known. */
+    override var streamVersion: String? = null
+
+    /** Whether the caller goes on with a stream that broke off. */
+    val isTakenUp: Boolean = route.kind == RequestKind.STREAM && route.resumable && request.resumption != null
+
+    /** Whether the request may be sent only once a coordinator knows which version began its stream. */
+    val needsStreamVersion: Boolean get() = isTakenUp && streamVersion == null
+
     /** Whether the coordinator that counts for all hosts has found [reservation] within the quota. */
     var isQuotaConfirmed = false
 
@@ -171,6 +180,7 @@
         dataCentre,
         allowedRegions,
         costPercent / PERCENT,
+        version = streamVersion,
     )
 
     /** The prefill result if an engine can still fetch it at [now]. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/PlacementNeed.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/PlacementNeed.kt
@@ -14,6 +14,7 @@
  * @property dataCentre data centre of the host that sends the request.
  * @property allowedRegions regions to which the request may be sent; empty if there is no such limit.
  * @property isOwn whether this host sends the request; false if it places the request for another host.
+ * @property version software version that the server of the answer must have; null if there is no such limit.
  * @property cost expected cost as a multiple of the mean cost of a request to the service.
  */
 internal class PlacementNeed(
@@ -25,7 +26,20 @@
     val allowedRegions: Set<RegionId> = emptySet(),
     val cost: Double = 1.0,
     val isOwn: Boolean = true,
-)
+    val version: String? = null,
+) {
+    /** The same need for a server of any version. */
+    fun withoutVersion() = PlacementNeed(
+        service,
+        memoryTokens,
+        promptTokens,
+        avoided,
+        dataCentre,
+        allowedRegions,
+        cost,
+        isOwn,
+    )
+}
 
 /**
  * Servers selected for a request; without [prefill], [server] processes the prompt itself.
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/QueuedRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/QueuedRequest.kt
@@ -18,6 +18,9 @@
     /** Regions to which the request may be sent; empty if there is no such limit. */
     val allowedRegions: Set<RegionId>
 
+    /** Software version of the server that began the stream; null if there is no such limit. */
+    val streamVersion: String?
+
     /** Time by which the answer must be complete. */
     val deadlineAt: Duration
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Queues.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Queues.kt
@@ -94,8 +94,9 @@
         }
     }
 
-    /** A request with allowed regions says nothing about the capacity for the others. */
+    /** A request with allowed regions or a version says nothing about the capacity for the others. */
     private fun mayHoldUpOthers(request: QueuedRequest) = request.allowedRegions.isEmpty() &&
+        request.streamVersion == null &&
         (request.service.engine == null || out.now - request.arrivedAt > MAX_BYPASS_TIME)
 
     /** Whether the queued [request] can be expected to be placed within its waiting limit. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RefusalReason.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RefusalReason.kt
@@ -1,6 +1,6 @@
 package io.anvilvalve.rules.routing
 
-/** Why a request was refused for lack of capacity or quota; [text] is the form in logs and metrics. */
+/** Why a request was refused for lack of capacity, quota or knowledge; [text] is the form in logs and metrics. */
 enum class RefusalReason(val text: String) {
     /** No server of the service can be used. */
     NO_SERVER("no_server"),
@@ -16,4 +16,7 @@
 
     /** All hosts together have used up the organisation's quota. */
     QUOTA("quota"),
+
+    /** It is not known which version of the servers began the stream that the caller takes up. */
+    STREAM("stream"),
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RemoteRequest.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RemoteRequest.kt
@@ -14,6 +14,7 @@
     message: PlacementMessage.Request,
     override val service: ServiceSpec,
     now: Duration,
+    override val streamVersion: String? = message.version,
 ) : QueuedRequest {
     val number: Long = message.number
     val need = PlacementNeed(
@@ -25,6 +26,7 @@
         message.regions.toSet(),
         message.costPercent / PERCENT,
         isOwn = false,
+        version = streamVersion,
     )
     override val routeName: String = message.route
     override val organisationId: OrganisationId? = message.organisation
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAttempts.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAttempts.kt
@@ -23,6 +23,7 @@
     private val estimate: FinishEstimate,
     private val crashingParts: CrashingParts,
     private val pauses: ServerPauses,
+    private val streams: StreamVersions,
     private val queue: Queue,
 ) {
     /** Where requests wait for a server again. */
@@ -90,12 +91,14 @@
         else -> endings.fail(request, ResultCode.BACKEND_FAILED)
     }
 
-    fun answerStarted(event: RoutingEvent.AnswerStarted) {
-        val request = live[event.id]?.takeIf { it.attempt == event.attempt } ?: return
+    /** Returns whether other hosts must learn that a stream has begun. */
+    fun answerStarted(event: RoutingEvent.AnswerStarted): Boolean {
+        val request = live[event.id]?.takeIf { it.attempt == event.attempt } ?: return false
         if (request.startedAt == null) request.startedAt = out.now
         request.server?.let { pauses.answered(it, request.id) }
         crashingParts.recordAnswer(request)
         request.answerEndsWithConnection = event.endsWithConnection
+        return streams.began(request)
     }
 
     /** Adjusts the memory reserved for a streamed answer to its progress. */
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestQueueing.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestQueueing.kt
@@ -6,6 +6,7 @@
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.ServiceId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Arrival of requests and their wait for a backend server.
@@ -26,10 +27,15 @@
     private val estimate: FinishEstimate,
     private val crashingParts: CrashingParts,
     private val confirmations: QuotaConfirmations,
+    private val streams: StreamVersions,
     private val placer: () -> Member?,
 ) {
     fun accept(request: LiveRequest) {
         live.add(request)
+        if (request.isTakenUp) {
+            request.streamVersion = streams.versionOf(streams.streamOf(request), request.service.id)
+            if (request.needsStreamVersion && placer() == null) return refuseUnknown(request)
+        }
         if (crashingParts.isWithheld(request)) return endings.withhold(request)
         if (drain.active && !estimate.canFinish(request, queues.expectedWait(request))) {
             return endings.refuse(request, ResultCode.DRAINING)
@@ -55,6 +61,7 @@
             placeHere(request.service.id)
         } else {
             queues.remove(request)
+            if (request.needsStreamVersion) request.streamVersion = server.version
             attempts.start(request, SelectedServers(server, prefill, tokensAhead))
         }
     }
@@ -70,6 +77,9 @@
         else -> endings.endUnplaced(request, refusal)
     }
 
+    private fun refuseUnknown(request: LiveRequest) =
+        endings.endUnplaced(request, Refusal(UNKNOWN_STREAM_WAIT, RefusalReason.STREAM))
+
     /** Queues [request] again after a call that did not end it. */
     fun requeue(request: LiveRequest) {
         request.phase = LiveRequest.Phase.QUEUED
@@ -142,6 +152,10 @@
     }
 
     private fun tryPlace(request: LiveRequest): Boolean {
+        if (request.needsStreamVersion) {
+            refuseUnknown(request)
+            return true
+        }
         val selected = placement.select(request.need(placement.dataCentre, out.now)) ?: return false
         val wait = confirmations.waitHere(request)
         if (wait == null) {
@@ -158,4 +172,9 @@
         request.isUntouched && !estimate.canFinish(request) -> endings.refuse(request, ResultCode.DRAINING)
         else -> endIfRuledOut(request)
     }
+
+    private companion object {
+        /** Another host may know the stream. */
+        val UNKNOWN_STREAM_WAIT = 200.milliseconds
+    }
 }
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/Requests.kt
@@ -27,6 +27,7 @@
     crashingParts: CrashingParts,
     pauses: ServerPauses,
     confirmations: QuotaConfirmations,
+    streams: StreamVersions,
     placer: () -> Member?,
 ) {
     private val live = LiveRequests()
@@ -34,6 +35,7 @@
     private val endings = RequestEndings(out, live, queues, loads, delegated, drain, completion, pauses)
     private val attempts = RequestAttempts(
         out, live, endings, placement, loads, retries, outcomes, costs, estimate, crashingParts, pauses,
+        streams,
         object : RequestAttempts.Queue {
             override fun requeue(request: LiveRequest) = queueing.requeue(request)
 
@@ -42,7 +44,7 @@
     )
     private val queueing: RequestQueueing = RequestQueueing(
         out, live, endings, attempts, placement, retries, queues, delegated, remote, drain, estimate, crashingParts,
-        confirmations, placer,
+        confirmations, streams, placer,
     )
 
     val size: Int get() = live.size
@@ -66,7 +68,8 @@
 
     fun prefillEnded(id: RequestId, attempt: Int, result: PrefillResult) = attempts.prefillEnded(id, attempt, result)
 
-    fun answerStarted(event: RoutingEvent.AnswerStarted) = attempts.answerStarted(event)
+    /** Returns whether other hosts must learn that a stream has begun. */
+    fun answerStarted(event: RoutingEvent.AnswerStarted): Boolean = attempts.answerStarted(event)
 
     fun answerProgressed(id: RequestId, attempt: Int, events: Int) = attempts.answerProgressed(id, attempt, events)
 
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -11,6 +11,7 @@
 import io.anvilvalve.api.routing.RecordedUsage
 import io.anvilvalve.api.routing.RoutingConfiguration
 import io.anvilvalve.api.routing.StateDecoder
+import io.anvilvalve.api.routing.StoredEntry
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -46,10 +47,14 @@
     private val evacuations = Evacuations(out, decoder) { dataCentre ->
         coldTimes.assumeCold(directory.all.filter { it.dataCentre == dataCentre && toleratedCold(it) > 0 })
     }
+    private val versions = ServiceVersions(out, directory, peers) {
+        configuration.current?.longestStream ?: Duration.ZERO
+    }
+    private val streams: StreamVersions = StreamVersions(out, directory, versions) { state.directoryAge }
     private val coldShares = ColdShares(self, out, peers, coordinators)
     private val coldServers = ColdServers(out, coldTimes, coldShares, settings.cold, ::toleratedCold)
     private val serverRules: List<ServerRule> =
-        listOf(leaving, pauses, evacuations, coldServers, HomeRegions(settings.regions))
+        listOf(leaving, pauses, evacuations, coldServers, HomeRegions(settings.regions), streams)
     private val turnaround = Turnaround()
     private val slowness = ServerSlowness(out, loads)
     private val costs = CostModel(out)
@@ -75,7 +80,7 @@
     private val admission = RequestAdmission(out, configuration, quotas, costs, random)
     private val completion = RequestCompletion(out, quotas, configuration, random)
     private val delegated: DelegatedPlacement =
-        DelegatedPlacement(out, coordinators, placement, quotas, random.nextLong(MAX_FIRST_NUMBER), ::send)
+        DelegatedPlacement(out, coordinators, placement, quotas, streams, random.nextLong(MAX_FIRST_NUMBER), ::send)
     private val remote: RemotePlacements =
         RemotePlacements(self.incarnation, out, queues, placement, loads, turnaround, ::send)
     private val crashingParts = CrashingParts(out, peers)
@@ -95,6 +100,7 @@
             crashingParts,
             pauses,
             QuotaConfirmations(quotas, coordinators, random) { isPlacer },
+            streams,
         ) {
             coordinators.placer(isAvailable)
         }
@@ -128,6 +134,7 @@
             serverStates = slowness.drain(),
             costs = costs.drain(),
             evacuations = evacuations.report,
+            streams = streams.drain(),
         )
     }
     private val summaries: SummarySender = SummarySender(out, peers, coordinators, ::send) { number, alive ->
@@ -185,7 +192,9 @@
 
             is RoutingEvent.AnswerProgressed -> requests.answerProgressed(event.id, event.attempt, event.events)
 
-            is RoutingEvent.AnswerStarted -> requests.answerStarted(event)
+            is RoutingEvent.AnswerStarted -> if (requests.answerStarted(event)) {
+                gossip.sendWithin(RoutingTimes.GOSSIP_CALLS_DELAY)
+            }
 
             is RoutingEvent.ServerReported -> serverReported(event)
 
@@ -248,6 +257,8 @@
             gossip.send(it.member, exchange.request(it.member.host))
         }
         quotas.tick()
+        versions.tick()
+        streams.tick()
         usageWriter.tick()
         loads.tick()
         requests.tick()
@@ -280,6 +291,7 @@
         slowness.applyReport(message.serverStates)
         outcomes.applyReport(message.outcomes)
         costs.applyReport(message.costs)
+        streams.applyReport(message.streams)
         remote.reported(message.member.host, message.grants)
         coldShares.grantsReported(message.member.host, message.grants)
         if (message.parts != null) crashingParts.update()
@@ -382,11 +394,19 @@
         if (service == null || !ready) {
             send(peer, PlacementMessage.Declined(message.number))
         } else {
-            val wait = quotas.confirm(frame.incarnation, message)
-            if (wait == null) {
-                requests.accept(RemoteRequest(peer, message, service, out.now))
+            val version = message.version ?: message.stream?.let { streams.versionOf(it, service.id) }
+            val request = RemoteRequest(peer, message, service, out.now, version)
+            val isServerMissing = version != null && placement.rules.waitForRules(request.need) > Duration.ZERO
+            val refusal = when {
+                isServerMissing || (version == null && message.stream != null) ->
+                    Refusal(Duration.ZERO, RefusalReason.STREAM)
+
+                else -> quotas.confirm(frame.incarnation, message)?.let { Refusal(it, RefusalReason.QUOTA) }
+            }
+            if (refusal == null) {
+                requests.accept(request)
             } else {
-                send(peer, Refusal(wait, RefusalReason.QUOTA).toMessage(message.number))
+                send(peer, refusal.toMessage(message.number))
             }
         }
     }
@@ -438,7 +458,12 @@
 
         override fun usageRead(usage: List<RecordedUsage>) = quotas.restore(usage)
 
-        override fun storeRestored() = usageWriter.storeRestored()
+        override fun recordsRead(entries: List<StoredEntry>) = versions.restore(entries)
+
+        override fun storeRestored() {
+            usageWriter.storeRestored()
+            versions.storeRestored()
+        }
 
         override fun evacuationsChanged() {
             gossip.sendWithin(RoutingTimes.GOSSIP_DELAY)
@@ -447,6 +472,7 @@
         }
 
         override fun serversChanged() {
+            versions.update()
             placement.retainKnownServers()
             coldServers.retain(directory.all.mapTo(HashSet()) { it.id })
             idleConnections.changed()
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StateFollower.kt
@@ -36,6 +36,9 @@
 
         fun usageRead(usage: List<RecordedUsage>)
 
+        /** All records that hosts have written beside their entries. */
+        fun recordsRead(entries: List<StoredEntry>)
+
         /** The store came back from an older copy. */
         fun storeRestored()
     }
@@ -105,6 +108,9 @@
     val storeAge: Duration
         get() = maxOf(readAge(StateTopic.CONFIGURATION), readAge(StateTopic.DIRECTORY))
 
+    /** Time since the entries of the backend servers were read from the store; infinite if they never were. */
+    val directoryAge: Duration get() = readAge(StateTopic.DIRECTORY)
+
     /** Whether the store has come back from a copy since the list of hosts was read. */
     val isHostListOutdated: Boolean get() = restoredAt != null && hostsEra != era
 
@@ -131,7 +137,10 @@
                 hosts.apply(page)
             }
 
-            StateTopic.USAGE -> page.entries.forEach(::applyUsage)
+            StateTopic.USAGE -> {
+                page.entries.filter { it.key != ServiceVersions.KEY }.forEach(::applyUsage)
+                sink.recordsRead(page.entries)
+            }
         }
     }
 
