Take streams up at the service of the route that began them

Callers saw, by the test: a stream of a route that is split over two services went on at either of them when it was taken up.

Cause: the service of a request is drawn by weight, also that of a take-up, and the version of a stream was compared without the service.

Hosts tell each other the service with the version, and a take-up goes to the service that began its stream. A stream that is not known goes on only where a route has a single service. The test passes.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/ConfigurationState.kt
@@ -49,6 +49,9 @@
 
     fun service(id: ServiceId): ServiceSpec? = current?.services?.get(id)
 
+    /** Whether the requests of the route [name] go to a single service. */
+    fun hasOneService(name: String): Boolean = current?.routes.orEmpty().find { it.name == name }?.targets?.size == 1
+
     fun owner(key: KeyHash): OrganisationRule? = owners[key]
 
     private fun apply(record: StoredEntry, next: RoutingConfiguration): Update {
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DelegatedPlacement.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/DelegatedPlacement.kt
@@ -71,7 +71,12 @@
                 patienceMillis = (request.patienceEndsAt - out.now).inWholeMilliseconds,
                 quotaTokens = reservation?.tokens ?: 0,
                 usage = reservation?.let(quotas::usageOf),
-                stream = if (request.needsStreamVersion) streams.streamOf(request) ?: UNKNOWN_STREAM else null,
+                stream = if (request.needsStreamVersion) {
+                    streams.streamOf(request.request, request.organisationId)
+                        ?: UNKNOWN_STREAM
+                } else {
+                    null
+                },
                 version = request.streamVersion,
             ),
         )
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAdmission.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestAdmission.kt
@@ -20,6 +20,7 @@
     private val configuration: ConfigurationState,
     private val quotas: SharedQuotas,
     private val costs: CostModel,
+    private val streams: StreamVersions,
     private val random: Random,
 ) {
     private class Refusal(
@@ -39,9 +40,12 @@
             Refusal(ResultCode.UNKNOWN_ROUTE)
         }
         val organisation = if (route.open) null else authenticate(request).bind()
-        val service = ensureNotNull(chooseService(route)?.let(configuration::service)) {
-            Refusal(ResultCode.NO_BACKEND_SERVER, SHORT_RETRY_AFTER)
-        }
+        val service =
+            ensureNotNull(
+                chooseService(route, streams.streamOf(request, organisation?.id))?.let(configuration::service),
+            ) {
+                Refusal(ResultCode.NO_BACKEND_SERVER, SHORT_RETRY_AFTER)
+            }
         val live = live(request, route, service, organisation)
         val engine = service.engine
         ensure(engine == null || live.maxTokens <= engine.memoryTokens) {
@@ -81,9 +85,12 @@
         ensureNotNull(configuration.owner(key)) { Refusal(ResultCode.KEY_INVALID) }
     }
 
-    /** Returns null if the route has no service. */
-    private fun chooseService(route: RouteRule): ServiceId? {
+    /** The service at which [stream] began, or one by weight; null if the route has no service. */
+    private fun chooseService(route: RouteRule, stream: Long?): ServiceId? {
         if (route.targets.size <= 1) return route.targets.singleOrNull()?.service
+        stream?.let(streams::serviceOf)?.takeIf { known ->
+            route.targets.any { it.service == known }
+        }?.let { return it }
         var remainingWeight = random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
         val chosen = route.targets.firstOrNull { target ->
             remainingWeight -= target.weight
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestQueueing.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RequestQueueing.kt
@@ -33,7 +33,9 @@
     fun accept(request: LiveRequest) {
         live.add(request)
         if (request.isTakenUp) {
-            request.streamVersion = streams.versionOf(streams.streamOf(request), request.service.id)
+            val stream = streams.streamOf(request.request, request.organisationId)
+            request.streamVersion =
+                streams.versionOf(stream, request.service.id, isOnlyService = request.route.targets.size == 1)
             if (request.needsStreamVersion && placer() == null) return refuseUnknown(request)
         }
         if (crashingParts.isWithheld(request)) return endings.withhold(request)
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -77,7 +77,7 @@
     private val weights = ShareWeights()
     private val queues = Queues(self, out, placement, peers, coordinators, weights)
     private val drain = Drain(out, settings.drainLimit, peers)
-    private val admission = RequestAdmission(out, configuration, quotas, costs, random)
+    private val admission = RequestAdmission(out, configuration, quotas, costs, streams, random)
     private val completion = RequestCompletion(out, quotas, configuration, random)
     private val delegated: DelegatedPlacement =
         DelegatedPlacement(out, coordinators, placement, quotas, streams, random.nextLong(MAX_FIRST_NUMBER), ::send)
@@ -394,7 +394,11 @@
         if (service == null || !ready) {
             send(peer, PlacementMessage.Declined(message.number))
         } else {
-            val version = message.version ?: message.stream?.let { streams.versionOf(it, service.id) }
+            val version =
+                message.version
+                    ?: message.stream?.let {
+                        streams.versionOf(it, service.id, configuration.hasOneService(message.route))
+                    }
             val request = RemoteRequest(peer, message, service, out.now, version)
             val isServerMissing = version != null && placement.rules.waitForRules(request.need) > Duration.ZERO
             val refusal = when {
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StreamVersions.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StreamVersions.kt
@@ -22,7 +22,7 @@
     private val services: ServiceVersions,
     private val directoryAge: () -> Duration,
 ) : ServerRule {
-    private class Start(val version: String, var at: Duration)
+    private class Start(val service: ServiceId, val version: String, var at: Duration)
 
     private val starts = LinkedHashMap<Long, Start>()
     private var unreported = ArrayList<StreamStart>()
@@ -39,7 +39,7 @@
         request.streamVersion = version
         val attemptId = request.request.attemptId
         if (attemptId == null || request.isTakenUp) return false
-        val start = StreamStart(hash(request.organisationId, attemptId), version)
+        val start = StreamStart(hash(request.organisationId, attemptId), request.service.id, version)
         if (!put(start)) return false
         unreported += start
         return true
@@ -49,14 +49,24 @@
     fun applyReport(started: List<StreamStart>) = started.forEach(::put)
 
     /** Hash code of the stream that [request] takes up; null if it begins anew or does not name the stream. */
-    fun streamOf(request: LiveRequest): Long? =
-        request.request.resumption?.attemptId?.let { hash(request.organisationId, it) }
+    fun streamOf(request: InboundRequest, organisation: OrganisationId?): Long? =
+        request.resumption?.attemptId?.let { hash(organisation, it) }
 
-    /** The version that began [stream] of [service]; null if it is not known for certain. */
-    fun versionOf(stream: Long?, service: ServiceId): String? {
+    /** The service at which [stream] began; null if this host does not know it. */
+    fun serviceOf(stream: Long): ServiceId? = starts[stream]?.service
+
+    /**
+     * The version of [service] that began [stream]; null if it is not known for certain, or if another service began it.
+     *
+     * @param isOnlyService whether requests of the route go to no other service.
+     */
+    fun versionOf(stream: Long?, service: ServiceId, isOnlyService: Boolean): String? {
         val start = stream?.let(starts::get)
-        start?.at = out.now
-        return start?.version ?: services.only(service).takeIf { directoryAge() <= MAX_DIRECTORY_AGE }
+        if (start != null) {
+            start.at = out.now
+            return start.version.takeIf { start.service == service }
+        }
+        return services.only(service).takeIf { isOnlyService && directoryAge() <= MAX_DIRECTORY_AGE }
     }
 
     fun tick() {
@@ -71,7 +81,7 @@
     }
 
     private fun put(start: StreamStart): Boolean =
-        starts.putIfAbsent(start.stream, Start(start.version, out.now)) == null
+        starts.putIfAbsent(start.stream, Start(start.service, start.version, out.now)) == null
 
     /** Two attempts with the same code have different versions only by a chance of 1 in 2^63. */
     private fun hash(organisation: OrganisationId?, attemptId: String): Long =
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StreamVersionsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StreamVersionsSpec.kt
@@ -1,11 +1,14 @@
 package io.anvilvalve.rules.routing
 
+import io.anvilvalve.api.id.BackendServerId
 import io.anvilvalve.api.id.KeyHash
 import io.anvilvalve.api.id.OrganisationId
 import io.anvilvalve.api.result.Executed
 import io.anvilvalve.api.routing.Backend
 import io.anvilvalve.api.routing.OrganisationRule
+import io.anvilvalve.api.routing.ServiceId
 import io.anvilvalve.api.routing.Stage
+import io.anvilvalve.api.routing.WeightedTarget
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldHaveSize
@@ -94,6 +97,31 @@
             }
         }
 
+        test("a stream that a caller takes up goes on at the service of the route that began it") {
+            val otherService = ServiceId("reader-2")
+            val split = configuration().let { base ->
+                val targets = listOf(WeightedTarget(modelService, 1), WeightedTarget(otherService, 1))
+                val other = base.services.getValue(modelService).copy(id = otherService)
+                base.copy(
+                    routes = base.routes.map { if (it.pathPrefix == "/deeds/") it.copy(targets = targets) else it },
+                    services = base.services + (otherService to other),
+                )
+            }
+            val others = engines("1", "1").map {
+                it.copy(id = BackendServerId("other-${it.id.value}"), service = otherService)
+            }
+            val host = RoutingFixture(configuration = split, backends = engines("1", "1") + others)
+            val began = host.begin("a").filterIsInstance<RoutingEffect.Forward>().single().server.service
+            val services = (1..6).flatMap { number ->
+                host.begin("t$number", Resumption("a")).filterIsInstance<RoutingEffect.Forward>()
+                    .map { it.server.service }
+            }
+            services shouldBe List(6) { began }
+            withClue("a stream that is not known") {
+                host.begin("u", Resumption("b")).none<RoutingEffect.Refuse>() shouldBe false
+            }
+        }
+
         for (hosts in listOf(7, 58)) {
             test("hosts know which version began a stream elsewhere: $hosts hosts") {
                 val servers = engines(*Array(ENGINES) { "${it % 2}" })
