Tell hosts that have started again which version began each stream

Callers saw, by the test: while two versions serve, streams that are taken up at a host that has started again are refused, in a large fleet at every host once the first coordinator is back, because it is asked although it knows no stream that began before its start.

Cause: hosts told of a stream once, to the hosts of that moment.

A report to a host that did not get the last one has all streams that began at its sender and may still be taken up.

--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/RoutingReducer.kt
@@ -134,9 +134,12 @@
             serverStates = slowness.drain(),
             costs = costs.drain(),
             evacuations = evacuations.report,
-            streams = streams.drain(),
+            streams = streams.report(gossipReceivers.mapTo(HashSet()) { it.incarnation }),
         )
     }
+    private val gossipReceivers: List<Member>
+        get() = if (coordinators.isDirect) peers.all.map { it.member } else coordinators.targets
+
     private val summaries: SummarySender = SummarySender(out, peers, coordinators, ::send) { number, alive ->
         FleetSummary(
             member = self,
--- a/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StreamVersions.kt
+++ b/anvilvalve-rules-routing/src/main/kotlin/io/anvilvalve/rules/routing/StreamVersions.kt
@@ -1,5 +1,6 @@
 package io.anvilvalve.rules.routing
 
+import io.anvilvalve.api.id.Incarnation
 import io.anvilvalve.api.id.OrganisationId
 import io.anvilvalve.api.peer.StreamStart
 import io.anvilvalve.api.routing.Backend
@@ -22,13 +23,23 @@
     private val services: ServiceVersions,
     private val directoryAge: () -> Duration,
 ) : ServerRule {
-    private class Start(val service: ServiceId, val version: String, var at: Duration)
+    private class Start(val start: StreamStart, val isOwn: Boolean, var at: Duration)
 
     private val starts = LinkedHashMap<Long, Start>()
     private var unreported = ArrayList<StreamStart>()
+    private var reportedTo = emptySet<Incarnation>()
 
-    /** Streams that began at this host since the last call, for reports. */
-    fun drain(): List<StreamStart> = unreported.also { if (it.isNotEmpty()) unreported = ArrayList() }
+    /**
+     * Streams that began at this host, for a report to the hosts [receivers]: those since the last report, or all if a host did
+     * not get the last one.
+     */
+    fun report(receivers: Set<Incarnation>): List<StreamStart> {
+        val isComplete = receivers.all { it in reportedTo }
+        reportedTo = receivers
+        val since = unreported
+        if (since.isNotEmpty()) unreported = ArrayList()
+        return if (isComplete) since else starts.values.filter { it.isOwn }.map { it.start }
+    }
 
     /** Records the first event of the stream of [request]; returns whether other hosts must learn of it. */
     fun began(request: LiveRequest): Boolean {
@@ -40,20 +51,20 @@
         val attemptId = request.request.attemptId
         if (attemptId == null || request.isTakenUp) return false
         val start = StreamStart(hash(request.organisationId, attemptId), request.service.id, version)
-        if (!put(start)) return false
+        if (!put(start, isOwn = true)) return false
         unreported += start
         return true
     }
 
     /** Applies what another host tells of its streams. */
-    fun applyReport(started: List<StreamStart>) = started.forEach(::put)
+    fun applyReport(started: List<StreamStart>) = started.forEach { put(it, isOwn = false) }
 
     /** Hash code of the stream that [request] takes up; null if it begins anew or does not name the stream. */
     fun streamOf(request: InboundRequest, organisation: OrganisationId?): Long? =
         request.resumption?.attemptId?.let { hash(organisation, it) }
 
     /** The service at which [stream] began; null if this host does not know it. */
-    fun serviceOf(stream: Long): ServiceId? = starts[stream]?.service
+    fun serviceOf(stream: Long): ServiceId? = starts[stream]?.start?.service
 
     /**
      * The version of [service] that began [stream]; null if it is not known for certain, or if another service began it.
@@ -61,10 +72,10 @@
      * @param isOnlyService whether requests of the route go to no other service.
      */
     fun versionOf(stream: Long?, service: ServiceId, isOnlyService: Boolean): String? {
-        val start = stream?.let(starts::get)
-        if (start != null) {
-            start.at = out.now
-            return start.version.takeIf { start.service == service }
+        val known = stream?.let(starts::get)
+        if (known != null) {
+            known.at = out.now
+            return known.start.version.takeIf { known.start.service == service }
         }
         return services.only(service).takeIf { isOnlyService && directoryAge() <= MAX_DIRECTORY_AGE }
     }
@@ -80,8 +91,8 @@
         return server.stage == Stage.PREFILL || (directory[server.id] ?: server).version == version
     }
 
-    private fun put(start: StreamStart): Boolean =
-        starts.putIfAbsent(start.stream, Start(start.service, start.version, out.now)) == null
+    private fun put(start: StreamStart, isOwn: Boolean): Boolean =
+        starts.putIfAbsent(start.stream, Start(start, isOwn, out.now)) == null
 
     /** Two attempts with the same code have different versions only by a chance of 1 in 2^63. */
     private fun hash(organisation: OrganisationId?, attemptId: String): Long =
--- a/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StreamVersionsSpec.kt
+++ b/anvilvalve-rules-routing/src/test/kotlin/io/anvilvalve/rules/routing/StreamVersionsSpec.kt
@@ -140,6 +140,28 @@
                 }
             }
 
+            test("a host that has started again learns of the streams that began before: $hosts hosts") {
+                val servers = engines(*Array(ENGINES) { "${it % 2}" })
+                val fleet = FleetSimulation(hosts, backends = servers, callMillis = STREAM_MILLIS)
+                fleet.run(22.seconds)
+                val began = (1..6).associateWith { number ->
+                    fleet.arrive(fleet.hosts[number], PATH, attemptId = "a$number", cost = LONG_PROMPT)
+                    fleet.run(400.milliseconds)
+                    checkNotNull(fleet.versionsOf["a$number"]?.single())
+                }
+                // In a large fleet, the first host is the coordinator that the others ask.
+                fleet.kill(fleet.hosts[0])
+                fleet.run(1.seconds)
+                fleet.restart(fleet.hosts[0])
+                fleet.run(4.seconds)
+                began.forEach { (number, version) ->
+                    val host = fleet.hosts[if (hosts == 7) 0 else hosts - number]
+                    fleet.arrive(host, PATH, "t$number", Resumption("a$number"), LONG_PROMPT)
+                    fleet.run(300.milliseconds)
+                    withClue("t$number") { fleet.versionsOf["t$number"] shouldBe listOf(version) }
+                }
+            }
+
             listOf(listOf("1"), listOf("1", "2")).forEach { versions ->
                 test("no stream goes on at another version after all hosts ended: $hosts hosts, versions $versions")
                 {
