--- a/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
+++ b/anvilvalve-api/src/main/kotlin/io/anvilvalve/api/peer/PeerMessage.kt
@@ -165,7 +165,8 @@
      * @property evacuations evacuations that the sender knows; null before it has read any state of the store.
      * @property drainMillis time for which a sender that stops accepts connections at most; null if it does not stop.
      * @property leaving backend servers that have announced to some host that they leave.
-     * @property streams streams that began at the sender since the previous message.
+     * @property streams streams that began at the sender since the previous message; all that callers may still take up if a
+     *   receiver did not get that message.
      */
     @Serializable
     @SerialName("go")
